--- /dev/null
+++ b/Libraries/core/base/ids.hpp
@@ -0,0 +1,31 @@
+#ifndef WISTERIAHATCH_CORE_BASE_IDS_HPP
+#define WISTERIAHATCH_CORE_BASE_IDS_HPP
+
+#include <compare>
+#include <cstdint>
+
+namespace wisteriahatch
+{
+
+// An integer that can't be mixed up with another kind of integer.
+template <class Tag>
+struct strong_id
+{
+    std::uint64_t value = 0;
+
+    friend auto operator<=>(const strong_id&, const strong_id&) = default;
+};
+
+// Version of a service's index, as named in the document. Higher is newer.
+using index_version = strong_id<struct index_version_tag>;
+
+// Number of a sub-request within its query, starting at 1.
+using attempt_id = strong_id<struct attempt_id_tag>;
+
+// 64 random bits drawn when a process starts. A restarted instance on the same
+// address has another incarnation.
+using incarnation = strong_id<struct incarnation_tag>;
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/core/connection/upstream_state.hpp
@@ -0,0 +1,87 @@
+#ifndef WISTERIAHATCH_CORE_CONNECTION_UPSTREAM_STATE_HPP
+#define WISTERIAHATCH_CORE_CONNECTION_UPSTREAM_STATE_HPP
+
+#include "core/base/ids.hpp"
+#include "core/base/time.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+
+namespace wisteriahatch
+{
+
+// What this process observed of one replica. Written and read by every worker,
+// so that each member is atomic; no lock is taken.
+class upstream_state
+{
+public:
+    // Consecutive failures that eject a replica.
+    static constexpr unsigned ejection_failures = 5;
+    static constexpr std::chrono::seconds first_ejection{1};
+    static constexpr std::chrono::seconds longest_ejection{30};
+    // Time over which a new replica's score falls to its normal value.
+    static constexpr std::chrono::seconds cold_start{10};
+    // Index versions remembered per replica.
+    static constexpr std::size_t max_versions = 8;
+
+    upstream_state(std::string name, std::string failure_domain,
+                   time_point first_seen);
+
+    const std::string& name() const;
+    const std::string& failure_domain() const;
+
+    // Records the start of an attempt, a success with its latency, a failure
+    // (which counts as a latency of at least `penalty`), a cancellation.
+    void record_start();
+    void record_success(duration latency, time_point now);
+    void record_failure(duration penalty, time_point now);
+    void record_cancel();
+
+    unsigned in_flight() const;
+    // Smoothed latency; 0 when nothing was observed.
+    duration smoothed_latency() const;
+    bool is_ejected(time_point now) const;
+
+    // An upstream that is leaving gets no new work.
+    void set_draining(bool value);
+    bool is_draining() const;
+
+    void set_reported_load(double load);
+    double reported_load() const;
+
+    // Records the complete list of index versions that the replica holds.
+    void set_versions(std::span<const index_version> versions);
+    // True when the replica holds the version or never said what it holds.
+    bool may_hold(index_version version) const;
+
+    // Lower is better; includes the cold start factor (4 falling to 1).
+    double score(time_point now) const;
+
+private:
+    std::string replica_name;
+    std::string domain;
+    time_point first_seen;
+    std::atomic<unsigned> running{0};
+    std::atomic<std::int64_t> latency_nanoseconds{0};
+    std::atomic<unsigned> consecutive_failures{0};
+    std::atomic<unsigned> ejections{0};
+    std::atomic<std::int64_t> ejected_until_nanoseconds{0};
+    std::atomic<bool> draining{false};
+    std::atomic<double> load{0};
+    std::atomic<std::uint64_t> versions[max_versions]{};
+    std::atomic<bool> versions_known{false};
+};
+
+// The replicas known to this process, by name. Immutable; a new table shares
+// the states of replicas that stay.
+using upstream_table =
+    std::map<std::string, std::shared_ptr<upstream_state>, std::less<>>;
+using upstream_table_ptr = std::shared_ptr<const upstream_table>;
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/core/process/hedge_budget.hpp
@@ -0,0 +1,31 @@
+#ifndef WISTERIAHATCH_CORE_PROCESS_HEDGE_BUDGET_HPP
+#define WISTERIAHATCH_CORE_PROCESS_HEDGE_BUDGET_HPP
+
+#include <atomic>
+#include <cstdint>
+
+namespace wisteriahatch
+{
+
+// Token bucket that bounds extra sub-requests. Each first attempt earns a
+// fraction of a token; each extra sub-request spends one. Thread-safe.
+class hedge_budget
+{
+public:
+    // Tokens that can be saved up, so that a quiet period can't pay for a
+    // burst of extra load.
+    static constexpr unsigned max_tokens = 10;
+
+    // Earns `percent`/100 of a token for one first attempt.
+    void earn(double percent);
+    // Spends one token; returns false when less than one is left.
+    bool spend();
+
+private:
+    // In thousandths of a token.
+    std::atomic<std::int64_t> millitokens{0};
+};
+
+}
+
+#endif
