--- /dev/null
+++ b/Libraries/net/http_server.hpp
@@ -0,0 +1,80 @@
+#ifndef WISTERIAHATCH_NET_HTTP_SERVER_HPP
+#define WISTERIAHATCH_NET_HTTP_SERVER_HPP
+
+#include "core/base/error.hpp"
+#include "core/base/time.hpp"
+#include "net/worker_pool.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// A parsed request.
+struct http_request
+{
+    std::string method;
+    // Path with query string.
+    std::string target;
+    std::string body;
+    time_point received;
+    // Set to true, on the worker of the request, when the peer closed its
+    // connection before the reply was written.
+    std::shared_ptr<bool> is_peer_gone;
+};
+
+// A reply to write.
+struct http_reply
+{
+    unsigned status = 200;
+    std::string body;
+    std::string content_type = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+using http_handler =
+    std::function<boost::asio::awaitable<http_reply>(http_request)>;
+
+// HTTP/1.1 server over all workers. A malformed or oversized request costs
+// its connection and is answered with a typed error where HTTP still allows.
+class http_server
+{
+public:
+    struct options
+    {
+        boost::asio::ip::tcp::endpoint listen;
+        std::size_t max_body_bytes = 1024 * 1024;
+        std::chrono::seconds idle_timeout{60};
+    };
+
+    http_server(worker_pool& workers, options values, http_handler handler);
+    ~http_server();
+
+    // Binds and accepts; connect_failed names the address when binding fails.
+    result<void> start();
+    // The bound endpoint, useful after binding port 0.
+    boost::asio::ip::tcp::endpoint endpoint() const;
+    // Every further reply carries "Connection: close"; accepting goes on.
+    void begin_drain();
+    // Closes the listening socket and idle connections. Running requests go
+    // on.
+    void stop_accepting();
+    // Requests read and not yet answered.
+    std::size_t running_requests() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> state;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Libraries/telemetry/log.hpp
@@ -0,0 +1,38 @@
+#ifndef WISTERIAHATCH_TELEMETRY_LOG_HPP
+#define WISTERIAHATCH_TELEMETRY_LOG_HPP
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+enum class log_level : std::uint8_t
+{
+    debug,
+    info,
+    warning,
+    error,
+};
+
+// A key and its value; values with spaces or quotes are quoted.
+struct log_field
+{
+    std::string_view key;
+    std::string value;
+};
+
+// Sets up log4cplus to write to standard error: time, level, event, fields.
+// `level` is debug, info, warning or error; returns false for another name.
+bool start_logging(std::string_view program, std::string_view level);
+
+// Writes one event as one line, "event=NAME key=value ...". Thread-safe.
+void log_event(log_level level, std::string_view event,
+               std::initializer_list<log_field> fields = {});
+
+}
+
+#endif
--- a/Meta/targets.cmake
+++ b/Meta/targets.cmake
@@ -2,6 +2,9 @@
 # Headers are included by their path below Libraries/.
 function(wisteriahatch_library name)
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+  if(NOT sources)
+    return()
+  endif()
   add_library(${name} STATIC ${sources})
   target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR}/Libraries)
   target_link_libraries(${name} PUBLIC ${ARGN} Threads::Threads)
