--- a/Libraries/telemetry/log.hpp
+++ b/Libraries/telemetry/log.hpp
@@ -29,6 +29,12 @@
 // `level` is debug, info, warning or error; returns false for another name.
 bool start_logging(std::string_view program, std::string_view level);
 
+// Returns the event as one line without time: "level=info event=NAME
+// key=value". Values that are empty or hold spaces, quotes, backslashes, equals
+// signs or control characters are quoted; control characters are escaped.
+std::string format_event(log_level level, std::string_view event,
+                         std::initializer_list<log_field> fields = {});
+
 // Writes one event as one line, "event=NAME key=value ...". Thread-safe.
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
