--- /dev/null
+++ b/Libraries/core/version/document_builder.cpp
@@ -0,0 +1,326 @@
+#include "core/version/document_builder.hpp"
+
+#include <algorithm>
+#include <boost/property_tree/ini_parser.hpp>
+#include <charconv>
+#include <limits>
+#include <locale>
+#include <sstream>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// Serials and index versions stay within signed 64-bit numbers, which JSON
+// libraries read without loss.
+constexpr number_range version_range{
+    .least = 1, .most = std::numeric_limits<std::int64_t>::max()};
+constexpr number_range instances_range{.least = 1, .most = 100'000};
+constexpr number_range slots_range{.least = 1, .most = 10'000};
+constexpr number_range connections_range{.least = 1, .most = 1'000'000};
+constexpr number_range new_connection_ms_range{.least = 0, .most = 60'000};
+constexpr number_range deadline_ms_range{.least = 1, .most = 600'000};
+constexpr number_range priority_range{.least = 0, .most = 3};
+constexpr number_range percent_range{.least = 0, .most = 100};
+
+// Returns the pair as the document writes it.
+std::string pair_text(std::string name, std::string_view place)
+{
+    return name.append("@").append(place);
+}
+
+}
+
+const std::array<document_builder::section_kind, 6> document_builder::kinds{{
+    {.word = "document", .read = &document_builder::read_document},
+    {.word = "fleet", .read = &document_builder::read_fleet},
+    {.word = "service",
+     .is_named = true,
+     .read = &document_builder::read_service},
+    {.word = "group", .is_named = true, .read = &document_builder::read_group},
+    {.word = "index", .is_named = true, .read = &document_builder::read_index},
+    {.word = "class", .is_named = true, .read = &document_builder::read_class},
+}};
+
+std::string_view document_builder::name_of(const document_section& section,
+                                           const section_kind& kind)
+{
+    const std::string_view text = section.name;
+    return kind.is_named ? text.substr(kind.word.size() + 1)
+                         : std::string_view{};
+}
+
+const document_builder::section_kind*
+document_builder::kind_of(std::string_view section)
+{
+    const auto space = section.find(' ');
+    const auto found =
+        std::ranges::find(kinds, section.substr(0, space), &section_kind::word);
+    if (found == kinds.end() || found->is_named != (space != section.npos))
+        return nullptr;
+    return &*found;
+}
+
+document_check document_builder::run()
+{
+    this->parse();
+    for (const auto& section : this->lines.sections)
+        if (!kind_of(section.name))
+            this->problems.add({
+                .section = section.name,
+                .line = section.line,
+                .message = "the section is unknown; write [document], "
+                           "[fleet], [service NAME], [group SERVICE/GROUP], "
+                           "[index SERVICE/VERSION] or [class NAME]",
+            });
+    for (const auto& kind : kinds)
+        this->read_sections(kind);
+    this->check_services();
+    if (!this->problems.is_empty())
+        return {.problems = this->problems.take()};
+    return {.accepted = std::move(this->built)};
+}
+
+void document_builder::parse()
+{
+    this->lines = index_lines(this->built->text, this->problems);
+    std::istringstream stream(this->lines.well_formed);
+    stream.imbue(std::locale::classic());
+    try
+    {
+        boost::property_tree::read_ini(stream, this->tree);
+    }
+    catch (const boost::property_tree::ini_parser_error& fault)
+    {
+        this->problems.add({
+            .line = fault.line(),
+            .message = "the line can't be parsed (" + fault.message() +
+                       "); write [SECTION] or KEY = VALUE",
+        });
+    }
+}
+
+void document_builder::read_sections(const section_kind& kind)
+{
+    bool is_found = false;
+    for (const auto& section : this->lines.sections)
+    {
+        if (kind_of(section.name) != &kind)
+            continue;
+        is_found = true;
+        const auto found = this->tree.find(section.name);
+        section_reader reader(
+            section, found == this->tree.not_found() ? nullptr : &found->second,
+            this->problems);
+        (this->*kind.read)(reader, name_of(section, kind));
+        reader.refuse_unknown_keys();
+    }
+    if (!is_found)
+        this->problems.add({
+            .section = std::string(kind.word),
+            .message = "there is no such section; add " +
+                       std::string(kind.is_named ? "at least one [" : "[") +
+                       std::string(kind.word) +
+                       std::string(kind.is_named ? " NAME]" : "]"),
+        });
+}
+
+void document_builder::read_document(section_reader& reader, std::string_view)
+{
+    this->built->environment = reader.name("environment");
+    this->built->key.serial = reader.number("serial", version_range);
+}
+
+void document_builder::read_fleet(section_reader& reader, std::string_view)
+{
+    this->built->failure_domains = reader.names("failure_domains");
+    this->failure_domains = {this->built->failure_domains.begin(),
+                             this->built->failure_domains.end()};
+    this->built->max_entry_instances = static_cast<unsigned>(
+        reader.number("max_entry_instances", instances_range));
+}
+
+void document_builder::read_service(section_reader& reader,
+                                    std::string_view name)
+{
+    if (!is_name(name))
+        reader.refuse({}, name,
+                      "the service's name is malformed; write "
+                      "letters, digits, spaces, '.', '_' or '-'");
+    service_spec read{.name = std::string(name)};
+    read.slots = static_cast<unsigned>(reader.number("slots", slots_range));
+    read.connections =
+        static_cast<unsigned>(reader.number("connections", connections_range));
+    read.new_connection = std::chrono::milliseconds(
+        reader.number("new_connection_ms", new_connection_ms_range, 1));
+    read.reports_load = reader.choice("load_reports", "yes", "no", false);
+    this->built->services.emplace(name, std::move(read));
+}
+
+service_spec* document_builder::split_name(section_reader& reader,
+                                           std::string_view name,
+                                           std::string_view& rest)
+{
+    const auto slash = name.rfind('/');
+    const auto service = trim(name.substr(0, slash));
+    rest =
+        slash == name.npos ? std::string_view{} : trim(name.substr(slash + 1));
+    if (!is_name(rest))
+    {
+        reader.refuse({}, name,
+                      "the name has no valid part after '/'; write "
+                      "[group SERVICE/GROUP] or "
+                      "[index SERVICE/VERSION]");
+        return nullptr;
+    }
+    const auto found = this->built->services.find(service);
+    if (found != this->built->services.end())
+        return &found->second;
+    reader.refuse({}, service,
+                  "the service does not exist; add a "
+                  "[service NAME] section or correct the name");
+    return nullptr;
+}
+
+void document_builder::read_group(section_reader& reader, std::string_view name)
+{
+    std::string_view group_name;
+    auto* const service = this->split_name(reader, name, group_name);
+    group_spec read{.name = std::string(group_name)};
+    for (auto& [replica, domain] :
+         reader.placed_names("replicas", "FAILURE_DOMAIN"))
+    {
+        if (!this->failure_domains.contains(domain))
+            reader.refuse("replicas", pair_text(replica, domain),
+                          "the failure domain is not declared; add it to "
+                          "failure_domains in [fleet] or correct it");
+        const auto [first, is_new] =
+            this->replica_sections.emplace(replica, name);
+        if (!is_new)
+            reader.refuse("replicas", replica,
+                          "the replica is named already in [group " +
+                              first->second +
+                              "]; a server belongs to one group");
+        read.replicas.push_back(
+            {.name = std::move(replica), .failure_domain = std::move(domain)});
+    }
+    if (!service)
+        return;
+    this->group_positions.emplace(name, service->groups.size());
+    service->groups.push_back(std::move(read));
+}
+
+void document_builder::read_index(section_reader& reader, std::string_view name)
+{
+    std::string_view number;
+    auto* const service = this->split_name(reader, name, number);
+    index_spec read;
+    const auto* const end = number.data() + number.size();
+    const auto parsed = std::from_chars(number.data(), end, read.version.value);
+    // A leading zero is refused, so that no version has two names.
+    if (parsed.ec != std::errc{} || parsed.ptr != end ||
+        number.starts_with('0') || read.version.value > version_range.most)
+        reader.refuse({}, number,
+                      "the index version is no positive number without "
+                      "leading zeros; write "
+                      "[index SERVICE/VERSION]");
+
+    const auto service_name = service ? service->name : std::string{};
+    std::set<std::string, std::less<>> names;
+    for (auto& [shard, group] : reader.placed_names("shards", "GROUP"))
+    {
+        auto position = service_name;
+        position.append("/").append(group);
+        const auto found = this->group_positions.find(position);
+        if (service && found == this->group_positions.end())
+            reader.refuse("shards", pair_text(shard, group),
+                          "the group does not exist; add [group " + position +
+                              "] or correct the name");
+        if (!names.insert(shard).second)
+            reader.refuse("shards", shard,
+                          "the shard is named twice; remove one of them");
+        if (found != this->group_positions.end())
+            read.shards.push_back(
+                {.name = std::move(shard), .group = found->second});
+    }
+    if (!service)
+        return;
+    service->indexes.push_back(std::move(read));
+}
+
+void document_builder::read_class(section_reader& reader, std::string_view name)
+{
+    if (!is_name(name))
+        reader.refuse({}, name,
+                      "the class's name is malformed; write "
+                      "letters, digits, spaces, '.', '_' or '-'");
+    class_spec read{.name = std::string(name)};
+    read.service = reader.name("service");
+    read.deadline = std::chrono::milliseconds(
+        reader.number("deadline_ms", deadline_ms_range));
+    read.priority =
+        static_cast<unsigned>(reader.number("priority", priority_range, 1));
+    read.coverage_floor_percent = static_cast<unsigned>(
+        reader.number("coverage_floor_percent", percent_range, 100));
+    read.partial = reader.choice("partial", "allowed", "refused", false)
+                       ? partial_policy::allowed
+                       : partial_policy::refused;
+    read.hedge_budget_percent = reader.percent("hedge_budget_percent", 0);
+    read.requests = reader.choice("idempotent", "yes", "no")
+                        ? idempotency::idempotent
+                        : idempotency::non_idempotent;
+    this->check_class(reader, read);
+    this->built->classes.emplace(name, std::move(read));
+}
+
+void document_builder::check_class(section_reader& reader,
+                                   const class_spec& read)
+{
+    if (is_name(read.service) && !this->built->find_service(read.service))
+        reader.refuse("service", read.service,
+                      "the service does not exist; add a [service NAME] "
+                      "section or correct the name");
+    const auto floor = std::to_string(read.coverage_floor_percent);
+    if (read.partial == partial_policy::refused &&
+        read.coverage_floor_percent < 100)
+        reader.refuse("coverage_floor_percent", floor,
+                      "has no effect while partial answers are refused; "
+                      "write 100 or partial = allowed");
+    if (read.partial == partial_policy::allowed &&
+        read.coverage_floor_percent == 100)
+        reader.refuse("coverage_floor_percent", floor,
+                      "refuses every partial answer although partial = "
+                      "allowed; write a floor under 100 or partial = refused");
+    if (reader.has("idempotent") && read.hedge_budget_percent > 0 &&
+        read.requests == idempotency::non_idempotent)
+        reader.refuse("hedge_budget_percent", {},
+                      "non-idempotent requests are never sent twice; write 0 "
+                      "or remove the key");
+}
+
+void document_builder::check_services()
+{
+    for (const auto& section : this->lines.sections)
+    {
+        const auto* const kind = kind_of(section.name);
+        if (!kind || kind->word != "service")
+            continue;
+        const auto name = name_of(section, *kind);
+        auto& service = this->built->services.find(name)->second;
+        std::ranges::sort(service.indexes, std::ranges::greater{},
+                          &index_spec::version);
+        section_reader reader(section, nullptr, this->problems);
+        if (service.groups.empty())
+            reader.refuse({}, {},
+                          "the service has no servers; add a [group " +
+                              service.name + "/all] section");
+        if (service.indexes.empty())
+            reader.refuse({}, {},
+                          "the service has no index; add an [index " +
+                              service.name + "/1] section");
+    }
+}
+
+}
--- a/Libraries/core/version/document_check.hpp
+++ b/Libraries/core/version/document_check.hpp
@@ -33,7 +33,7 @@
 
 // Largest document that is read, in bytes; the configuration service holds no
 // larger value.
-inline constexpr std::size_t max_document_bytes = 1024 * 1024;
+inline constexpr std::size_t max_document_bytes = std::size_t{1024} * 1024;
 
 // Parses and checks a document. Unknown sections and keys are faults.
 document_check check_document(std::string_view text);
--- /dev/null
+++ b/Libraries/core/version/document_lines.cpp
@@ -0,0 +1,155 @@
+#include "core/version/document_lines.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// The bytes that Boost.PropertyTree trims in the classic locale.
+constexpr std::string_view white_space = " \t\n\v\f\r";
+
+bool is_control(char byte)
+{
+    const auto value = static_cast<unsigned char>(byte);
+    return (value < 0x20 && byte != '\t') || value == 0x7f;
+}
+
+// Reads a text line by line and builds the index.
+class line_indexer
+{
+public:
+    explicit line_indexer(problem_list& faults)
+        : problems(faults)
+    {
+    }
+
+    document_lines run(std::string_view text)
+    {
+        this->output.well_formed.reserve(text.size() + 1);
+        while (!text.empty())
+        {
+            const auto end = text.find('\n');
+            ++this->number;
+            const auto line = trim(text.substr(0, end));
+            if (this->is_kept(line))
+                this->output.well_formed += line;
+            this->output.well_formed += '\n';
+            text.remove_prefix(end == text.npos ? text.size() : end + 1);
+        }
+        return std::move(this->output);
+    }
+
+private:
+    bool is_kept(std::string_view line)
+    {
+        if (line.empty() || line.front() == ';' || line.front() == '#')
+            return false;
+        if (std::ranges::any_of(line, is_control))
+            return this->refuse({}, line,
+                                "the line holds a control character; write "
+                                "it as plain text");
+        return line.front() == '[' ? this->is_header_kept(line)
+                                   : this->is_key_kept(line);
+    }
+
+    bool is_header_kept(std::string_view line)
+    {
+        // Keys below a refused header must not be read as keys of the
+        // section before it.
+        this->is_skipping = true;
+        this->current.clear();
+        const auto end = line.find(']');
+        if (end == line.npos)
+            return this->refuse({}, line,
+                                "the section header lacks its closing "
+                                "bracket; write [NAME]");
+        const auto rest = trim(line.substr(end + 1));
+        if (!rest.empty() && rest.front() != ';' && rest.front() != '#')
+            return this->refuse({}, line,
+                                "text follows the section header; put it on "
+                                "a line of its own");
+        this->current = trim(line.substr(1, end - 1));
+        if (!this->names.insert(this->current).second)
+            return this->refuse({}, {},
+                                "the section exists already; merge both or "
+                                "rename one");
+        this->is_skipping = false;
+        this->output.sections.push_back(
+            {.name = this->current, .line = this->number});
+        return true;
+    }
+
+    bool is_key_kept(std::string_view line)
+    {
+        const auto equals = line.find('=');
+        const auto key = trim(line.substr(0, equals));
+        if (equals == line.npos)
+            return this->refuse({}, line,
+                                "the line has no '='; write KEY = VALUE, or "
+                                "start a comment with ';'");
+        const auto value = trim(line.substr(equals + 1));
+        if (key.empty())
+            return this->refuse({}, value,
+                                "there is no key before '='; write "
+                                "KEY = VALUE");
+        if (this->is_skipping)
+            return false;
+        if (this->output.sections.empty())
+            return this->refuse(key, value,
+                                "the key stands before the first section; "
+                                "move it below a [SECTION] header");
+        auto& lines = this->output.sections.back().key_lines;
+        if (const auto first = lines.find(key); first != lines.end())
+            return this->refuse(key, value,
+                                "the key exists already on line " +
+                                    std::to_string(first->second) +
+                                    "; remove one of them");
+        lines.emplace(key, this->number);
+        return true;
+    }
+
+    // Reports the current line and returns false.
+    bool refuse(std::string_view key, std::string_view value,
+                std::string message)
+    {
+        this->problems.add({
+            .section = this->current,
+            .key = std::string(key),
+            .line = this->number,
+            .value = std::string(value),
+            .message = std::move(message),
+        });
+        return false;
+    }
+
+    problem_list& problems;
+    document_lines output;
+    std::set<std::string, std::less<>> names;
+    std::string current;
+    std::size_t number = 0;
+    // True below a refused header, whose keys belong to no section.
+    bool is_skipping = false;
+};
+
+}
+
+std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(white_space);
+    if (first == text.npos)
+        return {};
+    const auto last = text.find_last_not_of(white_space);
+    return text.substr(first, last - first + 1);
+}
+
+document_lines index_lines(std::string_view text, problem_list& problems)
+{
+    return line_indexer(problems).run(text);
+}
+
+}
