core: Implement run ids and the run registry

The owner of a run id keeps one record for each issued id and dispatches it at most once at a time; a later attempt follows only proof that the earlier one did not start. confirm_send refuses work past its deadline, so that a process that resumes late sends nothing old. never_sent after confirm_send counts as lost, because the shell may have written bytes. The registry gains was_issued, submit_sealed and handle_unreachable_owner so that the shell decides nothing about outcomes by itself. An alternative, one timer for each record, needs more memory than a set of the records that wait.

--- /dev/null
+++ b/Libraries/core/process/control_faults.hpp
@@ -0,0 +1,30 @@
+#ifndef WISTERIAHATCH_CORE_PROCESS_CONTROL_FAULTS_HPP
+#define WISTERIAHATCH_CORE_PROCESS_CONTROL_FAULTS_HPP
+
+#include <cstdint>
+
+namespace wisteriahatch
+{
+
+// Faults that tests inject into the state machines to show which invariant
+// catches each. Programs always leave the default.
+enum class control_fault : std::uint8_t
+{
+    none,
+    // Run at this instance when the id's owner is unreachable.
+    run_elsewhere,
+    // Report not_run for a request whose bytes may have reached an upstream.
+    not_run_after_send,
+    // Forget run records one second after they were issued.
+    forget_records_early,
+    // Accept a document whose key is lower than the one in force.
+    accept_lower_keys,
+    // Compare only addresses when deciding whether an id is owned.
+    ignore_incarnation,
+    // Keep queued runs after a pause instead of sealing them.
+    skip_sealing,
+};
+
+}
+
+#endif
--- a/Libraries/core/request/run_registry.hpp
+++ b/Libraries/core/request/run_registry.hpp
@@ -3,10 +3,12 @@
 
 #include "core/base/error.hpp"
 #include "core/base/time.hpp"
+#include "core/process/control_faults.hpp"
 #include "core/request/run_id.hpp"
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -90,6 +92,8 @@
         unsigned max_attempts = 3;
         // Ids issued and not yet expired; issuing more is refused.
         std::size_t max_records = 100000;
+        // For tests only.
+        control_fault fault = control_fault::none;
     };
 
     explicit run_registry(options values);
@@ -98,7 +102,11 @@
     result<run_id> issue(time_point now);
     // True when the id names this instance and incarnation.
     bool owns(const run_id& id) const;
-    // Takes an arrival. The id must be owned.
+    // True when this incarnation issued the id, even if it has expired since.
+    // An owned id that was never issued is an invalid_run_id.
+    bool was_issued(const run_id& id) const;
+    // Takes an arrival. The id must be owned. An id that expired or was never
+    // issued is answered with unknown and never runs.
     std::vector<run_action> submit(const run_submission& submission,
                                    time_point now);
     // The first byte is about to be written; false when the id was sealed
@@ -111,8 +119,18 @@
     // Seals what passed its deadline unsent, answers waiters past their
     // deadline, forgets expired records.
     std::vector<run_action> handle_timer(time_point now);
-    // Seals every id that is not yet sent, as after a pause.
+    // Seals every submitted id that is not yet sent, as after a pause. Ids
+    // that were issued and not submitted stay usable.
     std::vector<run_action> seal_unsent(time_point now);
+    // Takes an arrival that may not run, as in the settling time after a
+    // pause or at shutdown: seals the id unless it was sent, and answers.
+    std::vector<run_action> submit_sealed(const run_submission& submission,
+                                          time_point now);
+    // Answers an arrival whose owner could not be reached, or whose owner's
+    // address answered with another incarnation: always unknown, because the
+    // owner may have run it.
+    std::vector<run_action>
+    handle_unreachable_owner(const run_submission& submission, time_point now);
     // Arrivals not yet answered.
     std::size_t waiting() const;
 
@@ -146,9 +164,25 @@
         std::vector<waiter> waiters;
     };
 
+    using iterator = std::map<std::uint64_t, record>::iterator;
+
+    // Returns the live record, or end() when it is expired or not owned.
+    iterator find(const run_id& id, time_point now);
+    run_id id_of(iterator entry) const;
+    // Dispatches the next attempt.
+    void dispatch(iterator entry, std::vector<run_action>& actions);
+    // Enters a phase without further dispatches and answers every waiter.
+    void settle(iterator entry, phase reached,
+                std::vector<run_action>& actions);
+    void answer_waiters(iterator entry, std::vector<run_action>& actions);
+    void expire(time_point now, std::vector<run_action>& actions);
+
     options chosen;
     std::uint64_t next_sequence = 1;
+    // In order of issue, which is also the order of expiry.
     std::map<std::uint64_t, record> records;
+    // Records that are waiting or have waiters, which the timer looks at.
+    std::set<std::uint64_t> active;
 };
 
 }
