--- /dev/null
+++ b/Libraries/core/process/directory.hpp
@@ -0,0 +1,74 @@
+#ifndef WISTERIAHATCH_CORE_PROCESS_DIRECTORY_HPP
+#define WISTERIAHATCH_CORE_PROCESS_DIRECTORY_HPP
+
+#include "core/base/error.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// What an instance on the platform's list does.
+enum class instance_role : std::uint8_t
+{
+    entry,
+    upstream,
+};
+
+// What the platform's list says of an instance.
+enum class instance_state : std::uint8_t
+{
+    live,
+    leaving,
+};
+
+// One line of the platform's list.
+struct instance_entry
+{
+    std::string name;
+    instance_role role = instance_role::entry;
+    // "IP:port" for callers (entry) or for requests (upstream).
+    std::string address;
+    // "IP:port" for other instances; empty for upstreams.
+    std::string peer_address;
+    std::string failure_domain;
+    instance_state state = instance_state::live;
+
+    friend bool operator==(const instance_entry&,
+                           const instance_entry&) = default;
+};
+
+// The platform's list of instances. It lags behind reality and is a hint.
+// Immutable once published.
+struct directory
+{
+    // Grows with each change of the list.
+    std::uint64_t revision = 0;
+    std::vector<instance_entry> instances;
+
+    // Returns the instance with this name, or nullptr.
+    const instance_entry* find(std::string_view name) const;
+    // Returns the peer addresses of the live entry instances.
+    std::vector<std::string> entry_peers() const;
+};
+
+using directory_ptr = std::shared_ptr<const directory>;
+
+// Largest list that is read, in bytes: 30,000 instances at about 200 bytes.
+inline constexpr std::size_t max_directory_bytes = 8 * 1024 * 1024;
+
+// Reads the JSON of GET /instances and of directory.fetch. A list that is too
+// large, malformed or names an instance twice is a malformed_request.
+result<directory> decode_directory(std::string_view text);
+
+// Writes the JSON that decode_directory reads.
+std::string encode_directory(const directory& list);
+
+}
+
+#endif
