core: Record replica observations and choose replicas

Observations are atomics, so that every worker reads them without a lock. A latency counts half after five seconds without samples; without that, a replica that was slow once would never be chosen again. The version list is guarded by a generation counter, so that a reader never takes a half-written list for the loss of a version.

--- a/Libraries/core/connection/upstream_queue.hpp
+++ b/Libraries/core/connection/upstream_queue.hpp
@@ -94,6 +94,8 @@
         time_point deadline;
         call_id id;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): false positive of
+        // clang-tidy 14.
         friend auto operator<=>(const waiting_call&,
                                 const waiting_call&) = default;
     };
--- a/Libraries/core/connection/upstream_state.hpp
+++ b/Libraries/core/connection/upstream_state.hpp
@@ -25,8 +25,15 @@
     static constexpr std::chrono::seconds longest_ejection{30};
     // Time over which a new replica's score falls to its normal value.
     static constexpr std::chrono::seconds cold_start{10};
-    // Index versions remembered per replica.
+    // Index versions remembered per replica; the newest are kept.
     static constexpr std::size_t max_versions = 8;
+    // Share of a new sample in the smoothed latency.
+    static constexpr double sample_weight = 0.2;
+    // Time without samples after which a latency counts half in the score, so
+    // that a replica which was slow once is tried again.
+    static constexpr std::chrono::seconds latency_half_life{5};
+    // Latency assumed in the score of a replica that was never used.
+    static constexpr std::chrono::milliseconds assumed_latency{10};
 
     upstream_state(std::string name, std::string failure_domain,
                    time_point first_seen);
@@ -40,6 +47,11 @@
     void record_success(duration latency, time_point now);
     void record_failure(duration penalty, time_point now);
     void record_cancel();
+    // Records that an attempt ran for `elapsed` and had not answered when it
+    // was given up; a sample only when it exceeds the smoothed latency. Does
+    // not change in_flight(). Without it a straggler whose attempts are always
+    // cancelled in favour of a hedge would never look slow.
+    void record_unanswered(duration elapsed, time_point now);
 
     unsigned in_flight() const;
     // Smoothed latency; 0 when nothing was observed.
@@ -58,22 +70,30 @@
     // True when the replica holds the version or never said what it holds.
     bool may_hold(index_version version) const;
 
-    // Lower is better; includes the cold start factor (4 falling to 1).
+    // Lower is better: latency x (in flight + 1) x the cold start factor (4
+    // falling to 1). The latency halves each latency_half_life without samples.
     double score(time_point now) const;
 
 private:
+    void add_sample(duration latency, time_point now);
+    void end_attempt();
+
     std::string replica_name;
     std::string domain;
     time_point first_seen;
     std::atomic<unsigned> running{0};
     std::atomic<std::int64_t> latency_nanoseconds{0};
+    // Time since the epoch of time_point.
+    std::atomic<std::int64_t> last_sample_nanoseconds{0};
     std::atomic<unsigned> consecutive_failures{0};
     std::atomic<unsigned> ejections{0};
     std::atomic<std::int64_t> ejected_until_nanoseconds{0};
     std::atomic<bool> draining{false};
     std::atomic<double> load{0};
     std::atomic<std::uint64_t> versions[max_versions]{};
-    std::atomic<bool> versions_known{false};
+    // 0 until the replica first said what it holds; odd while `versions` is
+    // being written.
+    std::atomic<std::uint64_t> versions_generation{0};
 };
 
 // The replicas known to this process, by name. Immutable; a new table shares
