--- a/Libraries/core/request/query.hpp
+++ b/Libraries/core/request/query.hpp
@@ -2,12 +2,13 @@
 #define WISTERIAHATCH_CORE_REQUEST_QUERY_HPP
 
 #include "core/base/error.hpp"
+#include "core/base/fault_injection.hpp"
 #include "core/base/ids.hpp"
 #include "core/base/time.hpp"
 #include "core/connection/upstream_state.hpp"
+#include "core/request/row.hpp"
 #include "core/version/document.hpp"
 
-#include <compare>
 #include <memory>
 #include <random>
 #include <string>
@@ -19,15 +20,6 @@
 
 class service_state;
 
-// One row of an answer.
-struct row
-{
-    std::string key;
-    std::string value;
-
-    friend auto operator<=>(const row&, const row&) = default;
-};
-
 // An upstream's reply to one sub-request, as decoded from the wire.
 struct search_reply
 {
@@ -101,6 +93,8 @@
     // The instance's own failure domain, preferred on ties.
     std::string failure_domain;
     time_point deadline;
+    // Set by tests only.
+    injected_fault fault = injected_fault::none;
 };
 
 // One query: chooses the index version, plans a sub-request a shard, hedges
@@ -120,6 +114,7 @@
     // replica named in its upstream_state.
     std::vector<query_action> handle_failure(attempt_id attempt,
                                              error_kind kind, time_point now);
+    // Sends the hedges that are due, and finishes at the deadline.
     std::vector<query_action> handle_timer(time_point now);
     // The caller has gone: cancels every running attempt. No finish follows.
     std::vector<query_action> abandon(time_point now);
