--- a/Libraries/core/version/document_lines.cpp
+++ b/Libraries/core/version/document_lines.cpp
@@ -1,6 +1,7 @@
 #include "core/version/document_lines.hpp"
 
 #include <algorithm>
+#include <boost/locale/utf.hpp>
 #include <optional>
 #include <set>
 
@@ -19,6 +20,17 @@
     return (value < 0x20 && byte != '\t') || value == 0x7f;
 }
 
+bool is_utf8(std::string_view text)
+{
+    using traits = boost::locale::utf::utf_traits<char>;
+    const auto* at = text.begin();
+    while (at != text.end())
+        if (!boost::locale::utf::is_valid_codepoint(
+                traits::decode(at, text.end())))
+            return false;
+    return true;
+}
+
 // Reads a text line by line and builds the index.
 class line_indexer
 {
@@ -47,12 +59,18 @@
 private:
     bool is_kept(std::string_view line)
     {
-        if (line.empty() || line.front() == ';' || line.front() == '#')
-            return false;
+        // The text travels between instances as a JSON string, comments
+        // included.
         if (std::ranges::any_of(line, is_control))
             return this->refuse({}, line,
                                 "the line holds a control character; write "
                                 "it as plain text");
+        if (!is_utf8(line))
+            return this->refuse({}, line,
+                                "the line is not valid UTF-8; save the file "
+                                "as UTF-8");
+        if (line.empty() || line.front() == ';' || line.front() == '#')
+            return false;
         return line.front() == '[' ? this->is_header_kept(line)
                                    : this->is_key_kept(line);
     }
