--- /dev/null
+++ b/Libraries/core/base/json_fields.hpp
@@ -0,0 +1,54 @@
+#ifndef WISTERIAHATCH_CORE_BASE_JSON_FIELDS_HPP
+#define WISTERIAHATCH_CORE_BASE_JSON_FIELDS_HPP
+
+#include "core/base/error.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+// Reads untrusted JSON. Every failure is a malformed_request that names the
+// field. Unknown fields are ignored, so that versions of the program can
+// differ by a field.
+namespace wisteriahatch
+{
+
+// Parses an object of at most `max_bytes`, nested at most 8 deep.
+result<boost::json::object> parse_json_object(std::string_view text,
+                                              std::size_t max_bytes);
+
+// Returns the value as an object.
+result<const boost::json::object*>
+read_json_object(const boost::json::value& value, std::string_view what);
+
+// Returns the array field; fails when it has more than `max_items`.
+result<const boost::json::array*>
+read_json_array(const boost::json::object& object, std::string_view key,
+                std::size_t max_items);
+
+// Returns the string field; fails when it is longer than `max_bytes`.
+result<std::string> read_json_text(const boost::json::object& object,
+                                   std::string_view key, std::size_t max_bytes);
+
+// Returns the whole-number field; fails when it is negative or greater than
+// `maximum`.
+result<std::uint64_t> read_json_number(const boost::json::object& object,
+                                       std::string_view key,
+                                       std::uint64_t maximum);
+
+// Returns the field that holds 64 bits as a hexadecimal string.
+result<std::uint64_t> read_json_hash(const boost::json::object& object,
+                                     std::string_view key);
+
+// Parses 64 bits written as up to 16 hexadecimal digits.
+result<std::uint64_t> parse_hash(std::string_view text, std::string_view what);
+
+// Writes 64 bits as hexadecimal digits.
+std::string format_hash(std::uint64_t value);
+
+}
+
+#endif
