core: Implement membership and its messages

Tombstones are left out of digests and not taught to instances that never knew the member: instances that teach each other the dead would keep the records for ever. Every fifth round tries an address that is not a member, so that the parts of a healed network find each other.

--- /dev/null
+++ b/Libraries/core/process/gossip_codec.cpp
@@ -0,0 +1,247 @@
+#include "core/process/gossip_codec.hpp"
+
+#include "core/base/json_fields.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <limits>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// Longest address or failure domain, in bytes.
+constexpr std::size_t max_name_bytes = 64;
+
+// SHA-256 in hexadecimal.
+constexpr std::size_t digest_bytes = 64;
+
+// Digests that a request may name; a store holds 4.
+constexpr std::size_t max_held = 16;
+
+// Escaping can lengthen a body sixfold; line ends and quotes double it.
+constexpr std::size_t max_transfer_bytes = 2 * max_document_bytes + 4096;
+
+constexpr std::array<std::string_view, 4> state_names = {"alive", "suspect",
+                                                         "leaving", "dead"};
+
+constexpr std::array<std::string_view, 4> form_names = {"none", "held", "text",
+                                                        "delta"};
+
+// Returns the position of a word in a table of enumerator names.
+template <std::size_t Size>
+result<std::size_t> read_word(const boost::json::object& object,
+                              std::string_view key,
+                              const std::array<std::string_view, Size>& words)
+{
+    BOOST_OUTCOME_TRY(const auto word,
+                      read_json_text(object, key, max_name_bytes));
+    const auto found = std::ranges::find(words, word);
+    if (found == words.end())
+        return error{error_kind::malformed_request,
+                     "\"" + std::string(key) + "\" is \"" + word +
+                         "\"; send one of the words of this version"};
+    return static_cast<std::size_t>(found - words.begin());
+}
+
+result<std::string> decode_digest(const boost::json::object& object,
+                                  std::string_view key)
+{
+    BOOST_OUTCOME_TRY(auto digest, read_json_text(object, key, digest_bytes));
+    const bool is_hex =
+        std::ranges::all_of(digest,
+                            [](char digit) {
+                                return (digit >= '0' && digit <= '9') ||
+                                       (digit >= 'a' && digit <= 'f');
+                            });
+    if (!is_hex)
+        return error{error_kind::malformed_request,
+                     "\"" + std::string(key) +
+                         "\" is not a digest; send lower-case hexadecimal "
+                         "digits"};
+    return digest;
+}
+
+result<document_key> decode_key(const boost::json::object& object)
+{
+    document_key key;
+    BOOST_OUTCOME_TRY(
+        key.serial, read_json_number(object, "serial",
+                                     std::numeric_limits<std::int64_t>::max()));
+    BOOST_OUTCOME_TRY(key.digest, decode_digest(object, "digest"));
+    return key;
+}
+
+void encode_key(boost::json::object& object, const document_key& key)
+{
+    object["serial"] = key.serial;
+    object["digest"] = key.digest;
+}
+
+boost::json::object encode_record(const member_record& record)
+{
+    boost::json::object object;
+    object["address"] = record.address;
+    object["failure_domain"] = record.failure_domain;
+    object["nonce"] = format_hash(record.nonce.value);
+    object["epoch"] = record.epoch;
+    object["state"] = state_names.at(static_cast<std::size_t>(record.state));
+    return object;
+}
+
+result<member_record> decode_record(const boost::json::value& value)
+{
+    BOOST_OUTCOME_TRY(const auto* object, read_json_object(value, "records"));
+    member_record record;
+    BOOST_OUTCOME_TRY(record.address,
+                      read_json_text(*object, "address", max_name_bytes));
+    if (record.address.empty())
+        return error{error_kind::malformed_request,
+                     "\"address\" is empty; send IP:port"};
+    BOOST_OUTCOME_TRY(
+        record.failure_domain,
+        read_json_text(*object, "failure_domain", max_name_bytes));
+    BOOST_OUTCOME_TRY(record.nonce.value, read_json_hash(*object, "nonce"));
+    BOOST_OUTCOME_TRY(record.epoch,
+                      read_json_number(*object, "epoch", max_epoch));
+    BOOST_OUTCOME_TRY(const auto state,
+                      read_word(*object, "state", state_names));
+    record.state = static_cast<member_state>(state);
+    return record;
+}
+
+result<bucket_digests> decode_buckets(const boost::json::object& object)
+{
+    BOOST_OUTCOME_TRY(const auto* values,
+                      read_json_array(object, "buckets", bucket_count));
+    if (values->size() != bucket_count)
+        return error{error_kind::malformed_request,
+                     "\"buckets\" does not hold 64 digests; send 64"};
+    bucket_digests buckets{};
+    for (std::size_t index = 0; index < bucket_count; ++index)
+    {
+        const auto* text = (*values)[index].if_string();
+        if (text == nullptr)
+            return error{error_kind::malformed_request,
+                         "\"buckets\" holds something else than strings; "
+                         "send hexadecimal strings"};
+        BOOST_OUTCOME_TRY(buckets[index],
+                          parse_hash({text->data(), text->size()}, "buckets"));
+    }
+    return buckets;
+}
+
+}
+
+std::string encode_gossip(const gossip_message& message)
+{
+    boost::json::object object;
+    auto sender = encode_record(message.sender);
+    encode_key(sender, message.sender.document);
+    object["sender"] = std::move(sender);
+    object["table_digest"] = format_hash(message.table_digest);
+    boost::json::array records;
+    records.reserve(message.records.size());
+    for (const auto& record : message.records)
+        records.push_back(encode_record(record));
+    object["records"] = std::move(records);
+    if (message.bucket)
+        object["bucket"] = *message.bucket;
+    if (message.buckets)
+    {
+        boost::json::array digests;
+        for (const auto digest : *message.buckets)
+            digests.emplace_back(format_hash(digest));
+        object["buckets"] = std::move(digests);
+    }
+    return boost::json::serialize(object);
+}
+
+result<gossip_message> decode_gossip(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto object,
+                      parse_json_object(text, max_gossip_bytes));
+    gossip_message message;
+    const auto* sender = object.if_contains("sender");
+    if (sender == nullptr)
+        return error{error_kind::malformed_request,
+                     "\"sender\" is missing; send the sender's record"};
+    BOOST_OUTCOME_TRY(message.sender, decode_record(*sender));
+    BOOST_OUTCOME_TRY(message.sender.document, decode_key(sender->as_object()));
+    BOOST_OUTCOME_TRY(message.table_digest,
+                      read_json_hash(object, "table_digest"));
+    BOOST_OUTCOME_TRY(const auto* records,
+                      read_json_array(object, "records", max_message_records));
+    for (const auto& value : *records)
+    {
+        BOOST_OUTCOME_TRY(auto record, decode_record(value));
+        message.records.push_back(std::move(record));
+    }
+    if (object.contains("bucket"))
+    {
+        BOOST_OUTCOME_TRY(const auto bucket,
+                          read_json_number(object, "bucket", bucket_count - 1));
+        message.bucket = static_cast<unsigned>(bucket);
+    }
+    if (object.contains("buckets"))
+    {
+        BOOST_OUTCOME_TRY(message.buckets, decode_buckets(object));
+    }
+    return message;
+}
+
+std::string encode_document_request(const document_request& request)
+{
+    boost::json::object object;
+    object["held"] = boost::json::array(request.held_digests.begin(),
+                                        request.held_digests.end());
+    return boost::json::serialize(object);
+}
+
+result<document_request> decode_document_request(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto object, parse_json_object(text, 4096));
+    BOOST_OUTCOME_TRY(const auto* held,
+                      read_json_array(object, "held", max_held));
+    document_request request;
+    for (const auto& value : *held)
+    {
+        const auto* digest = value.if_string();
+        if (digest == nullptr || digest->size() != digest_bytes)
+            return error{error_kind::malformed_request,
+                         "\"held\" does not hold digests; send SHA-256 "
+                         "digests in hexadecimal"};
+        request.held_digests.emplace_back(digest->data(), digest->size());
+    }
+    return request;
+}
+
+std::string encode_document_transfer(const document_transfer& transfer)
+{
+    boost::json::object object;
+    object["form"] = form_names.at(static_cast<std::size_t>(transfer.form));
+    encode_key(object, transfer.key);
+    object["base"] = transfer.base;
+    object["body"] = transfer.body;
+    return boost::json::serialize(object);
+}
+
+result<document_transfer> decode_document_transfer(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto object,
+                      parse_json_object(text, max_transfer_bytes));
+    document_transfer transfer;
+    BOOST_OUTCOME_TRY(const auto form, read_word(object, "form", form_names));
+    transfer.form = static_cast<transfer_form>(form);
+    BOOST_OUTCOME_TRY(transfer.key, decode_key(object));
+    BOOST_OUTCOME_TRY(transfer.base, decode_digest(object, "base"));
+    BOOST_OUTCOME_TRY(transfer.body,
+                      read_json_text(object, "body", max_document_bytes));
+    return transfer;
+}
+
+}
--- a/Libraries/core/process/gossip_codec.hpp
+++ b/Libraries/core/process/gossip_codec.hpp
@@ -4,6 +4,7 @@
 #include "core/base/error.hpp"
 #include "core/process/document_transfer.hpp"
 #include "core/process/gossip_message.hpp"
+#include "core/version/document_check.hpp"
 
 #include <cstddef>
 #include <string>
--- /dev/null
+++ b/Libraries/core/process/member_table.cpp
@@ -0,0 +1,287 @@
+#include "core/process/member_table.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <utility>
+#include <xxhash.h>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// News is sent in this many messages times log2(size): enough to reach every
+// member with high probability in epidemic spreading.
+constexpr unsigned news_factor = 3;
+
+std::uint64_t record_hash(const member_record& record)
+{
+    auto hash = XXH3_64bits(record.address.data(), record.address.size());
+    hash =
+        XXH3_64bits_withSeed(&record.nonce.value, sizeof(std::uint64_t), hash);
+    const auto epoch = record.epoch * 4 + static_cast<unsigned>(record.state);
+    return XXH3_64bits_withSeed(&epoch, sizeof(epoch), hash);
+}
+
+// A key is relayed by its own instance only.
+member_record without_document(member_record record)
+{
+    record.document = {};
+    return record;
+}
+
+}
+
+member_table::member_table(member_record self, options values)
+    : chosen(values)
+    , own_address(self.address)
+{
+    this->entries[this->own_address] = {.record = std::move(self),
+                                        .until = time_point::max()};
+}
+
+void member_table::merge(const member_record& record, time_point now)
+{
+    if (record.epoch > max_epoch)
+        return;
+    const auto found = this->entries.find(record.address);
+    if (found == this->entries.end())
+    {
+        // Instances that teach each other tombstones would keep them for
+        // ever.
+        if (record.state == member_state::dead ||
+            this->entries.size() >= this->chosen.max_members)
+            return;
+        this->replace(this->entries[record.address], record, now);
+        return;
+    }
+    auto& known = found->second;
+    if (record.address != this->own_address)
+    {
+        if (takes_precedence(record, known.record))
+            this->replace(known, record, now);
+        return;
+    }
+    // Another incarnation of this address, or a suspicion against this one:
+    // only a higher epoch makes this record take precedence everywhere.
+    const bool is_other = record.nonce != known.record.nonce;
+    if (is_other ? record.epoch >= known.record.epoch
+                 : takes_precedence(record, known.record))
+    {
+        known.record.epoch = record.epoch + 1;
+        ++this->changes;
+    }
+}
+
+void member_table::merge_sender(const member_record& sender, time_point now)
+{
+    this->merge(without_document(sender), now);
+    const auto found = this->entries.find(sender.address);
+    if (found == this->entries.end() || sender.address == this->own_address ||
+        found->second.record.nonce != sender.nonce)
+        return;
+    auto& known = found->second;
+    // Delayed messages may name an older document.
+    known.record.document = std::max(known.record.document, sender.document);
+    // It still answers, and learns from the reply that it is suspected.
+    if (known.record.state == member_state::suspect)
+        known.until = now + this->suspicion_time();
+}
+
+void member_table::suspect(const std::string& address, time_point now)
+{
+    const auto found = this->entries.find(address);
+    if (found == this->entries.end() || address == this->own_address)
+        return;
+    auto& known = found->second;
+    if (known.record.state == member_state::alive)
+    {
+        auto record = known.record;
+        record.state = member_state::suspect;
+        this->replace(known, record, now);
+    }
+    else if (known.record.state == member_state::leaving)
+    {
+        known.until = std::min(known.until, now + this->suspicion_time());
+    }
+}
+
+void member_table::expire(time_point now)
+{
+    std::erase_if(this->entries,
+                  [&](const auto& known)
+                  {
+                      return known.second.record.state == member_state::dead &&
+                             now >= known.second.until;
+                  });
+    for (auto& [address, known] : this->entries)
+    {
+        if (now < known.until || known.record.state == member_state::dead)
+            continue;
+        auto record = known.record;
+        record.state = member_state::dead;
+        this->replace(known, record, now);
+    }
+}
+
+void member_table::restart_suspicions(time_point now)
+{
+    for (auto& [address, known] : this->entries)
+    {
+        if (known.record.state == member_state::suspect)
+            known.until = now + this->suspicion_time();
+        else if (known.record.state == member_state::leaving)
+            known.until = time_point::max();
+    }
+}
+
+void member_table::set_document(const document_key& key)
+{
+    this->entries.at(this->own_address).record.document = key;
+}
+
+void member_table::set_leaving()
+{
+    this->entries.at(this->own_address).record.state = member_state::leaving;
+    ++this->changes;
+}
+
+const member_record& member_table::self() const
+{
+    return this->entries.at(this->own_address).record;
+}
+
+const member_record* member_table::find(const std::string& address) const
+{
+    const auto found = this->entries.find(address);
+    return found == this->entries.end() ? nullptr : &found->second.record;
+}
+
+std::vector<member_record> member_table::members() const
+{
+    std::vector<member_record> records;
+    for (const auto& [address, known] : this->entries)
+    {
+        if (known.record.state != member_state::dead)
+            records.push_back(known.record);
+    }
+    return records;
+}
+
+std::vector<std::string> member_table::dead_addresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [address, known] : this->entries)
+    {
+        if (known.record.state == member_state::dead)
+            addresses.push_back(address);
+    }
+    return addresses;
+}
+
+std::vector<std::string> member_table::live_addresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [address, known] : this->entries)
+    {
+        if (known.record.state == member_state::alive ||
+            known.record.state == member_state::suspect)
+            addresses.push_back(address);
+    }
+    return addresses;
+}
+
+std::size_t member_table::size() const
+{
+    const auto is_member = [](const auto& known)
+    { return known.second.record.state != member_state::dead; };
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->entries, is_member));
+}
+
+bucket_digests member_table::buckets() const
+{
+    bucket_digests digests{};
+    for (const auto& [address, known] : this->entries)
+    {
+        if (known.record.state != member_state::dead)
+            digests.at(bucket_of(address)) += record_hash(known.record);
+    }
+    return digests;
+}
+
+std::uint64_t member_table::digest() const
+{
+    std::uint64_t sum = 0;
+    for (const auto digest : this->buckets())
+        sum += digest;
+    return sum;
+}
+
+std::uint64_t member_table::generation() const
+{
+    return this->changes;
+}
+
+std::vector<member_record> member_table::take_news(const std::string& receiver,
+                                                   std::size_t room,
+                                                   std::mt19937_64& random)
+{
+    const unsigned limit = news_factor * std::bit_width(this->size());
+    std::vector<entry*> news;
+    for (auto& [address, known] : this->entries)
+    {
+        if (address != this->own_address && address != receiver &&
+            known.times_sent < limit)
+            news.push_back(&known);
+    }
+    // Records that were sent equally often follow in random order.
+    std::ranges::shuffle(news, random);
+    std::ranges::stable_sort(
+        news, {}, [](const entry* known) { return known->times_sent; });
+    news.resize(std::min(room, news.size()));
+    std::vector<member_record> records;
+    for (auto* known : news)
+    {
+        ++known->times_sent;
+        records.push_back(without_document(known->record));
+    }
+    return records;
+}
+
+std::vector<member_record> member_table::bucket_records(unsigned bucket,
+                                                        std::size_t room) const
+{
+    std::vector<member_record> records;
+    for (const auto& [address, known] : this->entries)
+    {
+        if (records.size() < room && bucket_of(address) == bucket)
+            records.push_back(without_document(known.record));
+    }
+    return records;
+}
+
+void member_table::replace(entry& known, const member_record& record,
+                           time_point now)
+{
+    auto document = known.record.nonce == record.nonce ? known.record.document
+                                                       : document_key{};
+    known = {.record = record, .until = time_point::max()};
+    known.record.document = std::move(document);
+    if (record.state == member_state::suspect)
+        known.until = now + this->suspicion_time();
+    else if (record.state == member_state::dead)
+        known.until = now + this->chosen.tombstone;
+    ++this->changes;
+}
+
+duration member_table::suspicion_time() const
+{
+    const auto size = static_cast<double>(this->size());
+    return std::chrono::duration_cast<duration>(
+        this->chosen.suspicion * std::max(1.0, std::log10(size)));
+}
+
+}
--- /dev/null
+++ b/Libraries/core/process/membership.cpp
@@ -0,0 +1,219 @@
+#include "core/process/membership.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// Every so many rounds an address is tried that is not a known member, so that
+// parts of a healed network find each other again.
+constexpr std::uint64_t stranger_period = 5;
+
+// Exchanges that follow news, and the time between them.
+constexpr unsigned urgent_exchanges = 3;
+constexpr std::chrono::milliseconds urgent_interval{100};
+
+}
+
+membership::membership(options values, std::uint64_t seed)
+    : chosen(std::move(values))
+    , random(seed)
+    , table(this->chosen.self, this->chosen.table)
+{
+}
+
+std::vector<membership::exchange> membership::start(time_point now)
+{
+    this->next_round = now + urgent_interval;
+    this->urgent = urgent_exchanges;
+    std::vector<std::string> first;
+    std::ranges::sample(this->chosen.seeds, std::back_inserter(first),
+                        urgent_exchanges, this->random);
+    std::vector<exchange> exchanges;
+    for (const auto& address : first)
+    {
+        if (address != this->table.self().address)
+            exchanges.push_back(this->exchange_with(address));
+    }
+    return exchanges;
+}
+
+std::vector<membership::exchange> membership::handle_timer(time_point now)
+{
+    this->table.expire(now);
+    if (now < this->next_round)
+        return {};
+    if (this->urgent > 0)
+    {
+        --this->urgent;
+        this->next_round = now + urgent_interval;
+    }
+    else
+    {
+        // Spread over time, so that the rounds of a fleet that started at
+        // once do not stay in step.
+        std::uniform_real_distribution<double> spread(0.9, 1.1);
+        this->next_round =
+            now + std::chrono::duration_cast<duration>(this->round_interval() *
+                                                       spread(this->random));
+    }
+    const auto target = this->choose_target();
+    if (!target)
+        return {};
+    return {this->exchange_with(*target)};
+}
+
+time_point membership::next_timer() const
+{
+    return this->next_round;
+}
+
+membership::exchange membership::exchange_with(const std::string& address)
+{
+    return {.address = address, .message = this->compose(address)};
+}
+
+gossip_message membership::handle_exchange(const gossip_message& request,
+                                           time_point now)
+{
+    this->merge(request, now);
+    auto reply = this->compose(request.sender.address);
+    if (request.bucket)
+        this->add_bucket(reply, *request.bucket % bucket_count);
+    else if (request.table_digest != reply.table_digest)
+        reply.buckets = this->table.buckets();
+    return reply;
+}
+
+std::optional<membership::exchange>
+membership::handle_reply(const std::string& address,
+                         const gossip_message& reply, time_point now)
+{
+    this->merge(reply, now);
+    if (!reply.buckets)
+        return std::nullopt;
+    const auto own = this->table.buckets();
+    std::vector<unsigned> differing;
+    for (unsigned bucket = 0; bucket < bucket_count; ++bucket)
+    {
+        if (own.at(bucket) != reply.buckets->at(bucket))
+            differing.push_back(bucket);
+    }
+    if (differing.empty())
+        return std::nullopt;
+    std::uniform_int_distribution<std::size_t> any(0, differing.size() - 1);
+    auto next = this->exchange_with(address);
+    this->add_bucket(next.message, differing[any(this->random)]);
+    return next;
+}
+
+void membership::handle_no_answer(const std::string& address, time_point now)
+{
+    this->table.suspect(address, now);
+}
+
+void membership::set_hints(std::vector<std::string> addresses)
+{
+    this->hints = std::move(addresses);
+}
+
+void membership::set_document_key(const document_key& key, time_point now)
+{
+    this->table.set_document(key);
+    this->urgent = urgent_exchanges;
+    this->next_round = now;
+}
+
+void membership::set_leaving(time_point now)
+{
+    this->table.set_leaving();
+    this->urgent = urgent_exchanges;
+    this->next_round = now;
+}
+
+void membership::handle_pause(time_point now)
+{
+    this->table.restart_suspicions(now);
+    this->next_round = now;
+    this->urgent = urgent_exchanges;
+}
+
+const member_table& membership::members() const
+{
+    return this->table;
+}
+
+gossip_message membership::compose(const std::string& receiver)
+{
+    gossip_message message;
+    message.sender = this->table.self();
+    message.table_digest = this->table.digest();
+    // A member that is not seen as alive learns so, whatever else is news,
+    // because only the member itself can refute it.
+    const auto* known = this->table.find(receiver);
+    if (known != nullptr && known->state != member_state::alive)
+        message.records.push_back(*known);
+    auto news = this->table.take_news(
+        receiver, max_news - message.records.size(), this->random);
+    std::ranges::move(news, std::back_inserter(message.records));
+    return message;
+}
+
+void membership::add_bucket(gossip_message& message, unsigned bucket) const
+{
+    message.bucket = bucket;
+    auto records = this->table.bucket_records(
+        bucket, max_message_records - message.records.size());
+    std::ranges::move(records, std::back_inserter(message.records));
+}
+
+void membership::merge(const gossip_message& message, time_point now)
+{
+    this->table.merge_sender(message.sender, now);
+    for (const auto& record : message.records)
+        this->table.merge(record, now);
+}
+
+std::optional<std::string> membership::choose_target()
+{
+    std::vector<std::string> members;
+    for (const auto& record : this->table.members())
+    {
+        if (record.address != this->table.self().address)
+            members.push_back(record.address);
+    }
+    auto strangers = this->table.dead_addresses();
+    for (const auto* list : {&this->chosen.seeds, &this->hints})
+    {
+        for (const auto& address : *list)
+        {
+            if (this->table.find(address) == nullptr)
+                strangers.push_back(address);
+        }
+    }
+    ++this->rounds;
+    const bool is_stranger_due =
+        members.empty() || this->rounds % stranger_period == 0;
+    const auto& candidates =
+        is_stranger_due && !strangers.empty() ? strangers : members;
+    if (candidates.empty())
+        return std::nullopt;
+    std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
+    return candidates[any(this->random)];
+}
+
+duration membership::round_interval() const
+{
+    // 1 round up to 100 members, 2 up to 10,000.
+    const auto size = static_cast<double>(this->table.size());
+    const auto factor = std::max(1.0, std::ceil(std::log10(size) / 2));
+    return std::chrono::duration_cast<duration>(this->chosen.round * factor);
+}
+
+}
--- a/Libraries/core/process/membership.hpp
+++ b/Libraries/core/process/membership.hpp
@@ -3,14 +3,11 @@
 
 #include "core/base/time.hpp"
 #include "core/process/gossip_message.hpp"
+#include "core/process/member_table.hpp"
 
-#include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <random>
-#include <set>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -32,14 +29,7 @@
         // Time between two exchanges in a fleet of up to 100 members; longer
         // in larger ones, so that control stays below 2 KB/s.
         std::chrono::milliseconds round{1000};
-        // A suspect is dead after this time x log10(size), at least once this.
-        std::chrono::milliseconds suspicion{5000};
-        // Dead records are kept this long, so that late news of the dead
-        // incarnation is not taken as a new member.
-        std::chrono::minutes tombstone{10};
-        // Records beyond this number are ignored; four times the largest
-        // fleet planned.
-        std::size_t max_members = 20000;
+        member_table::options table;
     };
 
     // Send `message` to `address` by gossip.exchange, then call handle_reply
@@ -59,6 +49,8 @@
     std::vector<exchange> handle_timer(time_point now);
     // When handle_timer has something to do next.
     time_point next_timer() const;
+    // Returns an exchange with this address, as for a joining question.
+    exchange exchange_with(const std::string& address);
     // Takes a member's exchange and returns the reply.
     gossip_message handle_exchange(const gossip_message& request,
                                    time_point now);
@@ -80,56 +72,25 @@
     // chance to answer.
     void handle_pause(time_point now);
 
-    // Every known record but the dead, this instance's included.
-    std::vector<member_record> members() const;
-    // Addresses of the members that are alive or suspect, sorted, this
-    // instance's included unless it is leaving.
-    std::vector<std::string> live_addresses() const;
-    // This instance's own record.
-    const member_record& self() const;
-    // Returns the record, or nullptr; dead ones are found too.
-    const member_record* find(const std::string& address) const;
-    // Sum of the hashes of all records but the dead, independent of order.
-    std::uint64_t table_digest() const;
-    // The same sum by bucket of addresses.
-    bucket_digests buckets() const;
-    // Grows with each change of the table, so that readers copy it only then.
-    std::uint64_t generation() const;
+    // The table as this instance knows it.
+    const member_table& members() const;
 
 private:
-    struct entry
-    {
-        member_record record;
-        // Messages that carried this record since it last changed.
-        unsigned times_sent = 0;
-        // When a suspect is taken as dead, or a tombstone is forgotten.
-        time_point until;
-    };
-
     gossip_message compose(const std::string& receiver);
     void add_bucket(gossip_message& message, unsigned bucket) const;
     // Takes the sender and records of a message.
     void merge(const gossip_message& message, time_point now);
-    void merge_record(const member_record& record, time_point now);
-    void refute(const member_record& claim);
-    void set_state(entry& changed, member_state state, time_point now);
     std::optional<std::string> choose_target();
     duration round_interval() const;
-    duration suspicion_time() const;
-    // Members that are not dead, this instance included.
-    std::size_t size() const;
 
     options chosen;
     std::mt19937_64 random;
-    // Keyed by address; holds this instance too.
-    std::map<std::string, entry> table;
+    member_table table;
     std::vector<std::string> hints;
-    std::uint64_t changes = 0;
     std::uint64_t rounds = 0;
     // Exchanges that still follow at short intervals after news.
     unsigned urgent = 0;
     time_point next_round;
-    std::size_t dead = 0;
 };
 
 }
