core: Implement the document store

The store judges each text by its key alone, so that order of arrival does not matter, and keeps the greatest keys that peers name, so that a silent peer only delays by the fetch timeout. A joining instance asks at most 16 peers by gossip.exchange for their keys and fetches only what is newer; asking for the text at once would move up to 16 MB at each start.

--- /dev/null
+++ b/Libraries/core/process/document_store.cpp
@@ -0,0 +1,346 @@
+#include "core/process/document_store.hpp"
+
+#include "core/version/ownership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// Key of the rendezvous hashing that ranks the readers of the service.
+constexpr std::string_view reader_key = "config-reader";
+
+// Faulty documents that are remembered.
+constexpr std::size_t max_rejected = 16;
+
+// Peers whose offers are remembered.
+constexpr std::size_t max_offers = 64;
+
+}
+
+std::string_view to_string(document_verdict verdict)
+{
+    switch (verdict)
+    {
+    case document_verdict::accepted:
+        return "accepted";
+    case document_verdict::same:
+        return "same";
+    case document_verdict::stale:
+        return "stale";
+    case document_verdict::invalid:
+        return "invalid";
+    }
+    return "invalid";
+}
+
+document_store::document_store(options values, std::uint64_t seed,
+                               checker check)
+    : chosen(std::move(values))
+    , random(seed)
+    , check(std::move(check))
+{
+}
+
+std::vector<document_action>
+document_store::start(std::span<const std::string> peers, time_point now)
+{
+    auto actions = this->handle_pause(peers, now);
+    auto reads = this->handle_timer(now);
+    std::ranges::move(reads, std::back_inserter(actions));
+    return actions;
+}
+
+std::vector<document_action>
+document_store::handle_pause(std::span<const std::string> peers, time_point now)
+{
+    this->awaited.clear();
+    this->asked.clear();
+    this->join_deadline = now + this->chosen.join_wait;
+    this->next_read = now;
+    return this->ask_peers(peers);
+}
+
+document_arrival document_store::handle_text(std::string_view text,
+                                             time_point now)
+{
+    auto arrival = this->accept(text);
+    this->schedule_read(arrival.verdict, now);
+    this->follow_offers(now, arrival.actions);
+    return arrival;
+}
+
+void document_store::handle_service_answer(time_point now)
+{
+    this->schedule_read(document_verdict::same, now);
+}
+
+document_arrival document_store::handle_transfer(
+    const std::string& peer, const document_transfer& transfer, time_point now)
+{
+    if (this->pending && this->pending->peer == peer)
+        this->pending.reset();
+    this->offers.erase(peer);
+    document_arrival arrival;
+    arrival.verdict = document_verdict::same;
+    const auto text = this->unpack(transfer);
+    if (text)
+        arrival = this->accept(*text);
+    if (transfer.form == transfer_form::delta && arrival.key != transfer.key)
+    {
+        // Without named bases the peer answers with the whole text.
+        arrival.verdict = document_verdict::invalid;
+        this->pending = {peer, now};
+        arrival.actions.emplace_back(fetch_document{.peer = peer});
+        return arrival;
+    }
+    // A peer that names one key and delivers another would be asked in every
+    // round.
+    if (text && arrival.key != transfer.key)
+        this->reject(transfer.key.digest);
+    this->awaited.erase(peer);
+    this->follow_offers(now, arrival.actions);
+    return arrival;
+}
+
+std::vector<document_action>
+document_store::handle_fetch_failure(const std::string& peer, time_point now)
+{
+    if (this->pending && this->pending->peer == peer)
+        this->pending.reset();
+    this->offers.erase(peer);
+    std::vector<document_action> actions;
+    this->follow_offers(now, actions);
+    return actions;
+}
+
+std::vector<document_action>
+document_store::handle_peer_key(const std::string& peer,
+                                const document_key& key, time_point now)
+{
+    if (this->offers.size() < max_offers || this->offers.contains(peer))
+        this->offers[peer] = key;
+    std::vector<document_action> actions;
+    this->follow_offers(now, actions);
+    return actions;
+}
+
+std::vector<document_action>
+document_store::handle_directory(std::span<const std::string> peers,
+                                 time_point now)
+{
+    this->has_directory = true;
+    if (now >= this->join_deadline)
+        return {};
+    return this->ask_peers(peers);
+}
+
+std::vector<document_action>
+document_store::set_members(std::span<const std::string> live_addresses,
+                            time_point now)
+{
+    const bool was_reader = this->watches;
+    const auto own = rendezvous_weight(this->chosen.instance, reader_key);
+    const bool is_live =
+        std::ranges::find(live_addresses, this->chosen.instance) !=
+        live_addresses.end();
+    const auto heavier = std::ranges::count_if(
+        live_addresses,
+        [&](const std::string& address)
+        {
+            return std::pair(rendezvous_weight(address, reader_key), address) >
+                   std::pair(own, this->chosen.instance);
+        });
+    this->watches = is_live && static_cast<std::size_t>(heavier) <
+                                   this->chosen.reader_count;
+    if (this->watches && !was_reader)
+        this->next_read = std::min(this->next_read, now);
+    return this->handle_timer(now);
+}
+
+std::vector<document_action> document_store::handle_timer(time_point now)
+{
+    std::vector<document_action> actions;
+    if (this->pending &&
+        now - this->pending->started >= this->chosen.fetch_timeout)
+        actions =
+            this->handle_fetch_failure(std::string(this->pending->peer), now);
+    if (!this->is_reading && now >= this->next_read)
+    {
+        this->is_reading = true;
+        const bool is_watch = this->watches && this->in_force != nullptr;
+        actions.emplace_back(read_service{.is_watch = is_watch});
+    }
+    return actions;
+}
+
+const document_ptr& document_store::current() const
+{
+    return this->in_force;
+}
+
+document_key document_store::key() const
+{
+    return this->in_force ? this->in_force->key : document_key{};
+}
+
+document_transfer
+document_store::answer_fetch(const document_request& request) const
+{
+    if (!this->in_force)
+        return {};
+    document_transfer transfer;
+    transfer.key = this->in_force->key;
+    const auto holds = [&](const std::string& digest)
+    {
+        return std::ranges::find(request.held_digests, digest) !=
+               request.held_digests.end();
+    };
+    if (holds(transfer.key.digest))
+    {
+        transfer.form = transfer_form::held;
+        return transfer;
+    }
+    transfer.form = transfer_form::text;
+    transfer.body = this->in_force->text;
+    return transfer;
+}
+
+document_request document_store::held() const
+{
+    document_request request;
+    for (const auto& base : this->bases)
+        request.held_digests.push_back(base->key.digest);
+    return request;
+}
+
+bool document_store::is_ready(time_point now) const
+{
+    return this->in_force != nullptr && this->has_directory &&
+           (this->awaited.empty() || now >= this->join_deadline);
+}
+
+bool document_store::is_reader() const
+{
+    return this->watches;
+}
+
+document_arrival document_store::accept(std::string_view text)
+{
+    document_arrival arrival;
+    if (this->in_force && this->in_force->text == text)
+    {
+        arrival.verdict = document_verdict::same;
+        arrival.key = this->in_force->key;
+        return arrival;
+    }
+    auto checked = this->check(text);
+    arrival.problems = std::move(checked.problems);
+    if (checked.accepted == nullptr)
+        return arrival;
+    arrival.key = checked.accepted->key;
+    if (checked.accepted->environment != this->chosen.environment)
+    {
+        arrival.problems.push_back(
+            {.section = "document",
+             .key = "environment",
+             .value = checked.accepted->environment,
+             .message = "the document is for another environment; publish "
+                        "the document of \"" +
+                        this->chosen.environment + "\" here"});
+        return arrival;
+    }
+    if (arrival.key < this->key() &&
+        this->chosen.fault != control_fault::accept_lower_keys)
+    {
+        arrival.verdict = document_verdict::stale;
+        return arrival;
+    }
+    arrival.verdict = document_verdict::accepted;
+    this->in_force = std::move(checked.accepted);
+    this->bases.push_front(this->in_force);
+    if (this->bases.size() > this->chosen.max_bases)
+        this->bases.pop_back();
+    arrival.actions.emplace_back(put_in_force{.accepted = this->in_force});
+    return arrival;
+}
+
+std::optional<std::string>
+document_store::unpack(const document_transfer& transfer) const
+{
+    if (transfer.form == transfer_form::text)
+        return transfer.body;
+    return std::nullopt;
+}
+
+void document_store::reject(const std::string& digest)
+{
+    this->rejected.push_back(digest);
+    if (this->rejected.size() > max_rejected)
+        this->rejected.pop_front();
+}
+
+std::vector<document_action>
+document_store::ask_peers(std::span<const std::string> peers)
+{
+    std::vector<std::string> chosen_peers(peers.begin(), peers.end());
+    std::ranges::shuffle(chosen_peers, this->random);
+    std::vector<document_action> actions;
+    for (auto& peer : chosen_peers)
+    {
+        if (this->asked.size() >= this->chosen.max_join_peers)
+            break;
+        if (peer == this->chosen.instance || !this->asked.insert(peer).second)
+            continue;
+        this->awaited.insert(peer);
+        actions.emplace_back(ask_peer{.peer = std::move(peer)});
+    }
+    return actions;
+}
+
+void document_store::follow_offers(time_point now,
+                                   std::vector<document_action>& actions)
+{
+    std::erase_if(this->offers,
+                  [&](const auto& offer)
+                  {
+                      const auto& [peer, key] = offer;
+                      if (key > this->key() &&
+                          std::ranges::find(this->rejected, key.digest) ==
+                              this->rejected.end())
+                          return false;
+                      this->awaited.erase(peer);
+                      return true;
+                  });
+    if (this->pending || this->offers.empty())
+        return;
+    const auto best = std::ranges::max_element(
+        this->offers, {}, [](const auto& offer) { return offer.second; });
+    this->pending = {best->first, now};
+    actions.emplace_back(
+        fetch_document{.peer = best->first, .request = this->held()});
+}
+
+void document_store::schedule_read(document_verdict verdict, time_point now)
+{
+    this->is_reading = false;
+    if (verdict == document_verdict::accepted && this->watches)
+    {
+        this->next_read = now;
+        return;
+    }
+    if (this->watches || this->in_force == nullptr)
+    {
+        this->next_read = now + this->chosen.retry;
+        return;
+    }
+    std::uniform_int_distribution<std::int64_t> delay(
+        this->chosen.slow_read_min.count(), this->chosen.slow_read_max.count());
+    this->next_read = now + std::chrono::milliseconds(delay(this->random));
+}
+
+}
--- a/Libraries/core/process/document_store.hpp
+++ b/Libraries/core/process/document_store.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -23,8 +24,15 @@
 namespace wisteriahatch
 {
 
-// Ask a peer by document.fetch; report the answer with handle_transfer or
-// handle_fetch_failure. While joining, the directory is asked for as well.
+// Ask a peer which document it has by gossip.exchange; report the answer with
+// handle_peer_key. A peer that does not answer needs no report.
+struct ask_peer
+{
+    std::string peer;
+};
+
+// Get a peer's document by document.fetch; report the answer with
+// handle_transfer or handle_fetch_failure.
 struct fetch_document
 {
     std::string peer;
@@ -47,7 +55,7 @@
 };
 
 using document_action =
-    std::variant<fetch_document, read_service, put_in_force>;
+    std::variant<ask_peer, fetch_document, read_service, put_in_force>;
 
 // What became of a text.
 enum class document_verdict : std::uint8_t
@@ -88,6 +96,8 @@
         std::string environment;
         // A joining instance waits this long for its peers' answers.
         std::chrono::milliseconds join_wait{3000};
+        // Peers that a joining instance asks at most.
+        std::size_t max_join_peers = 16;
         // A fetch from a peer without answer is given up after this time.
         std::chrono::milliseconds fetch_timeout{2000};
         // Instances that keep a watch open: 16 watches and one read in 90 s
@@ -132,8 +142,10 @@
     std::vector<document_action> handle_peer_key(const std::string& peer,
                                                  const document_key& key,
                                                  time_point now);
-    // The directory is known.
-    void handle_directory();
+    // The directory is known; a joining instance asks the peers that it did
+    // not know yet.
+    std::vector<document_action>
+    handle_directory(std::span<const std::string> peers, time_point now);
     // The live members changed; decides who asks the service.
     std::vector<document_action>
     set_members(std::span<const std::string> live_addresses, time_point now);
@@ -161,9 +173,15 @@
         time_point started;
     };
 
-    document_arrival accept(std::string_view text, time_point now);
-    bool is_rejected(const std::string& digest) const;
-    duration slow_read_delay();
+    document_arrival accept(std::string_view text);
+    // Returns the text that a transfer leads to, if any.
+    std::optional<std::string> unpack(const document_transfer& transfer) const;
+    void reject(const std::string& digest);
+    // Asks peers while there is room for them.
+    std::vector<document_action> ask_peers(std::span<const std::string> peers);
+    // Forgets offers that are no longer news and fetches the greatest.
+    void follow_offers(time_point now, std::vector<document_action>& actions);
+    void schedule_read(document_verdict verdict, time_point now);
 
     options chosen;
     std::mt19937_64 random;
@@ -176,7 +194,11 @@
     bool has_directory = false;
     // Peers whose answer the joining instance waits for.
     std::set<std::string> awaited;
+    // Peers asked since the instance started joining.
+    std::set<std::string> asked;
     time_point join_deadline;
+    // Greater keys that peers named, by peer.
+    std::map<std::string, document_key> offers;
     std::optional<pending_fetch> pending;
     bool watches = false;
     // A read or watch is under way.
