--- /dev/null
+++ b/Libraries/net/boost_json.cpp
@@ -0,0 +1,1 @@
+#include <boost/json/src.hpp>
--- a/Libraries/net/http_client.hpp
+++ b/Libraries/net/http_client.hpp
@@ -28,7 +28,7 @@
     std::string method = "GET";
     std::string target = "/";
     std::string body;
-    std::size_t max_reply_bytes = 2 * 1024 * 1024;
+    std::size_t max_reply_bytes = std::size_t{2} * 1024 * 1024;
     std::chrono::milliseconds timeout{1000};
 };
 
--- /dev/null
+++ b/Libraries/net/http_server.cpp
@@ -0,0 +1,224 @@
+#include "net/http_server.hpp"
+
+#include "net/beast.hpp"
+#include "net/http_session.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <unordered_set>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// Time before accepting again after a failure such as too many open files.
+constexpr std::chrono::milliseconds accept_retry_delay{10};
+constexpr int listen_backlog = 4096;
+
+}
+
+http_reply make_error_reply(unsigned status, const error& failure)
+{
+    boost::json::object body;
+    body["error"] = to_string(failure.kind);
+    body["message"] = failure.message;
+    http_reply reply;
+    reply.status = status;
+    reply.body = boost::json::serialize(body);
+    return reply;
+}
+
+class http_server::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(worker_pool& pool, options values, http_handler handler)
+        : workers(pool)
+        , context(std::make_shared<http_session_context>())
+        , sessions(pool.size())
+    {
+        this->context->values = std::move(values);
+        this->context->handler = std::move(handler);
+    }
+
+    result<void> start()
+    {
+        const auto wanted = this->context->values.listen;
+        auto listener = std::make_shared<tcp::acceptor>(this->workers.at(0));
+        error_code failure;
+        listener->open(wanted.protocol(), failure);
+        if (!failure)
+            listener->set_option(tcp::acceptor::reuse_address(true), failure);
+        if (!failure)
+            listener->bind(wanted, failure);
+        if (!failure)
+            listener->listen(listen_backlog, failure);
+        if (!failure)
+            listener->non_blocking(true, failure);
+        if (failure)
+            return error{error_kind::connect_failed,
+                         "listening on " + wanted.address().to_string() + ":" +
+                             std::to_string(wanted.port()) + " failed: " +
+                             failure.message() + "; choose a free address"};
+        this->bound = listener->local_endpoint();
+        this->acceptor = listener;
+        asio::co_spawn(this->workers.at(0),
+                       accept_all(this->shared_from_this(), listener),
+                       asio::detached);
+        return boost::outcome_v2::success();
+    }
+
+    void stop_accepting()
+    {
+        asio::post(this->workers.at(0),
+                   [self = this->shared_from_this()]
+                   {
+                       if (const auto listener = self->acceptor.lock())
+                           self->close_listener(*listener);
+                       self->close_idle_sessions();
+                   });
+    }
+
+    // Runs on the first worker, and owns the listening socket.
+    static asio::awaitable<void>
+    accept_all(std::shared_ptr<implementation> self,
+               std::shared_ptr<tcp::acceptor> listener)
+    {
+        asio::steady_timer retry(listener->get_executor());
+        while (listener->is_open())
+        {
+            error_code failure;
+            const auto worker = self->take_worker();
+            tcp::socket socket(self->workers.at(worker));
+            co_await listener->async_accept(socket, store_error(failure));
+            if (!failure)
+                self->serve(std::move(socket), worker);
+            else if (listener->is_open())
+            {
+                retry.expires_after(accept_retry_delay);
+                co_await retry.async_wait(store_error(failure));
+            }
+        }
+    }
+
+    worker_pool& workers;
+    std::shared_ptr<http_session_context> context;
+    tcp::endpoint bound;
+
+private:
+    // Connections that wait in the backlog have been accepted by the kernel,
+    // so they are served before the listening socket is closed.
+    void close_listener(tcp::acceptor& listener)
+    {
+        error_code failure;
+        while (!failure)
+        {
+            const auto worker = this->take_worker();
+            tcp::socket socket(this->workers.at(worker));
+            listener.accept(socket, failure);
+            if (!failure)
+                this->serve(std::move(socket), worker);
+        }
+        listener.close(failure);
+        this->context->is_stopped = true;
+    }
+
+    // Returns the worker of the next connection.
+    std::size_t take_worker()
+    {
+        const auto worker = this->next_worker;
+        this->next_worker = (worker + 1) % this->workers.size();
+        return worker;
+    }
+
+    // Starts a session on the worker that the socket belongs to.
+    void serve(tcp::socket socket, std::size_t worker)
+    {
+        const auto& values = this->context->values;
+        if (values.on_accept && !values.on_accept())
+            return;
+        auto session =
+            std::make_shared<http_session>(std::move(socket), this->context);
+        asio::post(this->workers.at(worker),
+                   [self = this->shared_from_this(), worker, session]
+                   {
+                       self->sessions[worker].insert(session.get());
+                       asio::co_spawn(self->workers.at(worker),
+                                      run_session(self, worker, session),
+                                      asio::detached);
+                   });
+    }
+
+    static asio::awaitable<void>
+    run_session(std::shared_ptr<implementation> self, std::size_t worker,
+                std::shared_ptr<http_session> session)
+    {
+        co_await session->serve();
+        self->sessions[worker].erase(session.get());
+        if (self->context->values.on_close)
+            self->context->values.on_close();
+    }
+
+    void close_idle_sessions()
+    {
+        for (std::size_t worker = 0; worker < this->workers.size(); ++worker)
+            asio::post(this->workers.at(worker),
+                       [self = this->shared_from_this(), worker]
+                       {
+                           for (auto* session : self->sessions[worker])
+                               session->close_if_idle();
+                       });
+    }
+
+    // The accepting coroutine owns the listening socket, so that the socket
+    // never outlives its worker.
+    std::weak_ptr<tcp::acceptor> acceptor;
+    std::size_t next_worker = 0;
+    // Open sessions by worker; each set belongs to its worker.
+    std::vector<std::unordered_set<http_session*>> sessions;
+};
+
+http_server::http_server(worker_pool& workers, options values,
+                         http_handler handler)
+    : state(std::make_shared<implementation>(workers, std::move(values),
+                                             std::move(handler)))
+{
+}
+
+http_server::~http_server()
+{
+    this->state->stop_accepting();
+}
+
+result<void> http_server::start()
+{
+    return this->state->start();
+}
+
+tcp::endpoint http_server::endpoint() const
+{
+    return this->state->bound;
+}
+
+void http_server::begin_drain()
+{
+    this->state->context->is_draining = true;
+}
+
+void http_server::stop_accepting()
+{
+    this->state->stop_accepting();
+}
+
+std::size_t http_server::running_requests() const
+{
+    return this->state->context->running_requests;
+}
+
+}
--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -29,6 +29,9 @@
     // Set to true, on the worker of the request, when the peer closed its
     // connection before the reply was written.
     std::shared_ptr<bool> is_peer_gone;
+    // The handler may store a function here; it is called at most once, on the
+    // worker of the request, when is_peer_gone becomes true.
+    std::shared_ptr<std::function<void()>> on_peer_gone;
 };
 
 // A reply to write.
@@ -43,16 +46,29 @@
 using http_handler =
     std::function<boost::asio::awaitable<http_reply>(http_request)>;
 
-// HTTP/1.1 server over all workers. A malformed or oversized request costs
-// its connection and is answered with a typed error where HTTP still allows.
+// Returns a reply with the body {"error":kind,"message":text}.
+http_reply make_error_reply(unsigned status, const error& failure);
+
+// HTTP/1.1 server over all workers. One acceptor hands sockets to the workers
+// in turn: SO_REUSEPORT would spread few long-lived connections unevenly. A
+// malformed or oversized request costs its connection and is answered with a
+// typed error where HTTP still allows.
 class http_server
 {
 public:
     struct options
     {
         boost::asio::ip::tcp::endpoint listen;
-        std::size_t max_body_bytes = 1024 * 1024;
+        std::size_t max_body_bytes = std::size_t{1024} * 1024;
+        // Longest wait for a request, and for the peer to send or take the
+        // next bytes of a message.
         std::chrono::seconds idle_timeout{60};
+        // Called on the accepting worker for each new connection, which is
+        // closed at once when it returns false. May be empty.
+        std::function<bool()> on_accept;
+        // Called on the connection's worker when an accepted connection was
+        // closed. May be empty.
+        std::function<void()> on_close;
     };
 
     http_server(worker_pool& workers, options values, http_handler handler);
@@ -67,7 +83,7 @@
     // Closes the listening socket and idle connections. Running requests go
     // on.
     void stop_accepting();
-    // Requests read and not yet answered.
+    // Requests whose headers were read and whose reply is not yet written.
     std::size_t running_requests() const;
 
 private:
--- /dev/null
+++ b/Libraries/net/http_session.cpp
@@ -0,0 +1,220 @@
+#include "net/http_session.hpp"
+
+#include <exception>
+#include <string>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// Bound on what is discarded after the last reply of a connection.
+constexpr std::size_t max_discarded_bytes = std::size_t{4} * 1024 * 1024;
+constexpr std::chrono::seconds max_discard_time{2};
+constexpr std::size_t discard_buffer_bytes = 16384;
+
+// Counts a request as running until its reply is written, whatever ends it.
+class running_request
+{
+public:
+    explicit running_request(std::atomic<std::size_t>& value)
+        : counter(value)
+    {
+        ++this->counter;
+    }
+
+    running_request(const running_request&) = delete;
+    running_request& operator=(const running_request&) = delete;
+
+    ~running_request()
+    {
+        --this->counter;
+    }
+
+private:
+    std::atomic<std::size_t>& counter;
+};
+
+}
+
+http_session::http_session(tcp::socket socket,
+                           std::shared_ptr<http_session_context> shared)
+    : stream(std::move(socket))
+    , context(std::move(shared))
+{
+    error_code ignored;
+    this->stream.socket().set_option(tcp::no_delay(true), ignored);
+    // The peer watch reads without waiting.
+    this->stream.socket().non_blocking(true, ignored);
+}
+
+asio::awaitable<void> http_session::serve()
+{
+    bool keep_open = true;
+    while (keep_open)
+        keep_open = co_await this->serve_request();
+    error_code ignored;
+    this->stream.socket().close(ignored);
+}
+
+void http_session::close_if_idle()
+{
+    error_code failure;
+    if (!this->is_idle || this->request_number == 0 ||
+        this->buffer.size() > 0 || this->stream.socket().available(failure) > 0)
+        return;
+    this->stream.socket().close(failure);
+}
+
+asio::awaitable<bool> http_session::serve_request()
+{
+    parser message;
+    message.body_limit(this->context->values.max_body_bytes);
+    this->stream.expires_after(this->context->values.idle_timeout);
+    this->is_idle = true;
+    error_code failure;
+    co_await http::async_read_header(this->stream, this->buffer, message,
+                                     store_error(failure));
+    this->is_idle = false;
+    const running_request running(this->context->running_requests);
+    if (!failure)
+        failure = co_await this->read_body(message);
+    if (failure)
+    {
+        co_await this->answer_read_error(failure);
+        co_return false;
+    }
+
+    const bool wants_keep_alive = message.get().keep_alive();
+    http_request request;
+    request.method = std::string(message.get().method_string());
+    request.target = std::string(message.get().target());
+    request.body = std::move(message.get().body());
+    request.received = std::chrono::steady_clock::now();
+    request.is_peer_gone = std::make_shared<bool>(false);
+    request.on_peer_gone = std::make_shared<std::function<void()>>();
+    ++this->request_number;
+    this->watch_peer(request);
+    auto reply = co_await this->run_handler(std::move(request));
+    ++this->request_number;
+    this->stream.socket().cancel(failure);
+    co_return co_await this->write_reply(std::move(reply), wants_keep_alive);
+}
+
+asio::awaitable<error_code> http_session::read_body(parser& message)
+{
+    error_code failure;
+    if (!message.is_done() &&
+        beast::iequals(message.get()[http::field::expect], "100-continue"))
+    {
+        http::response<http::empty_body> proceed(http::status::continue_, 11);
+        co_await http::async_write(this->stream, proceed, store_error(failure));
+    }
+    while (!failure && !message.is_done())
+    {
+        this->stream.expires_after(this->context->values.idle_timeout);
+        co_await http::async_read_some(this->stream, this->buffer, message,
+                                       store_error(failure));
+    }
+    this->stream.expires_never();
+    co_return failure;
+}
+
+asio::awaitable<void> http_session::answer_read_error(error_code failure)
+{
+    if (!is_http_error(failure) || failure == http::error::end_of_stream ||
+        failure == http::error::partial_message)
+        co_return;
+    const bool is_too_large = failure == http::error::body_limit;
+    const auto limit = std::to_string(this->context->values.max_body_bytes);
+    const error large{error_kind::body_too_large,
+                      "the body exceeds " + limit + " bytes; send less"};
+    const error malformed{error_kind::malformed_request,
+                          "the request is not valid HTTP/1.1: " +
+                              failure.message()};
+    auto reply = is_too_large ? make_error_reply(413, large)
+                              : make_error_reply(400, malformed);
+    co_await this->write_reply(std::move(reply), false);
+}
+
+asio::awaitable<http_reply> http_session::run_handler(http_request request)
+{
+    error fault{error_kind::internal, ""};
+    try
+    {
+        co_return co_await this->context->handler(std::move(request));
+    }
+    catch (const std::exception& failure)
+    {
+        fault.message = failure.what();
+    }
+    co_return make_error_reply(500, fault);
+}
+
+asio::awaitable<bool> http_session::write_reply(http_reply reply,
+                                                bool keep_open)
+{
+    keep_open =
+        keep_open && !this->context->is_draining && !this->context->is_stopped;
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(reply.status);
+    message.set(http::field::content_type, reply.content_type);
+    for (const auto& [name, value] : reply.headers)
+        message.set(name, value);
+    message.keep_alive(keep_open);
+    if (!keep_open)
+        message.set(http::field::connection, "close");
+    message.body() = std::move(reply.body);
+    message.prepare_payload();
+    error_code failure;
+    this->stream.expires_after(this->context->values.idle_timeout);
+    co_await http::async_write(this->stream, message, store_error(failure));
+    if (failure)
+        co_return false;
+    if (!keep_open)
+        co_await this->discard_input();
+    co_return keep_open;
+}
+
+asio::awaitable<void> http_session::discard_input()
+{
+    error_code failure;
+    this->stream.socket().shutdown(tcp::socket::shutdown_send, failure);
+    this->stream.expires_after(max_discard_time);
+    std::string discarded(discard_buffer_bytes, '\0');
+    std::size_t total = 0;
+    while (!failure && total < max_discarded_bytes)
+    {
+        auto target = asio::buffer(discarded);
+        total +=
+            co_await this->stream.async_read_some(target, store_error(failure));
+    }
+}
+
+void http_session::watch_peer(const http_request& request)
+{
+    auto report = [self = this->weak_from_this(), number = this->request_number,
+                   is_gone = request.is_peer_gone,
+                   on_gone = request.on_peer_gone](error_code failure)
+    {
+        const auto session = self.lock();
+        if (!session || session->request_number != number ||
+            failure == asio::error::operation_aborted)
+            return;
+        // A readable socket holds a further request, or the end of the stream.
+        char first = 0;
+        session->stream.socket().receive(asio::buffer(&first, 1),
+                                         tcp::socket::message_peek, failure);
+        if (!failure || failure == asio::error::would_block)
+            return;
+        *is_gone = true;
+        if (*on_gone)
+            std::exchange(*on_gone, nullptr)();
+    };
+    this->stream.socket().async_wait(tcp::socket::wait_read, std::move(report));
+}
+
+}
--- /dev/null
+++ b/Libraries/net/upstream_connection.hpp
@@ -0,0 +1,73 @@
+#ifndef WISTERIAHATCH_NET_UPSTREAM_CONNECTION_HPP
+#define WISTERIAHATCH_NET_UPSTREAM_CONNECTION_HPP
+
+#include "core/base/ids.hpp"
+#include "core/base/time.hpp"
+#include "net/beast.hpp"
+#include "net/upstream_pool.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// What a reply says about its upstream; members are empty when it says
+// nothing.
+struct upstream_report
+{
+    std::optional<bool> is_draining;
+    std::optional<double> load;
+    std::optional<std::vector<index_version>> versions;
+};
+
+// How one request over a connection ended.
+struct upstream_exchange
+{
+    upstream_result outcome;
+    upstream_report report;
+    // No byte of a reply arrived in time.
+    bool was_silent = false;
+};
+
+// One HTTP/1.1 connection to an upstream; carries one request at a time.
+// Belongs to one worker.
+class upstream_connection
+{
+public:
+    // `number` counts the upstream's connections in the order of opening.
+    upstream_connection(asio::io_context& worker, tcp::endpoint endpoint,
+                        std::uint64_t number);
+
+    // Returns an error when not connected by `expiry`.
+    asio::awaitable<error_code> connect(time_point expiry);
+    // Sends the call and reads its reply. The first byte of the reply must
+    // arrive by `first_byte`, the last one by the call's deadline.
+    asio::awaitable<upstream_exchange> exchange(const upstream_call& call,
+                                                time_point first_byte,
+                                                std::size_t max_reply_bytes);
+    void close();
+
+    // False when the upstream has closed the connection or has sent bytes that
+    // nobody asked for. They would be taken for the reply to the next request.
+    bool is_reusable();
+    bool is_open() const;
+    std::uint64_t number() const;
+    // When the last byte arrived, or the connection was opened.
+    time_point last_heard() const;
+
+private:
+    upstream_exchange make_failure(const error_code& failure) const;
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    tcp::endpoint endpoint;
+    std::uint64_t opening_number;
+    time_point heard{};
+    bool is_usable = false;
+};
+
+}
+
+#endif
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -24,7 +24,9 @@
     fresh,
 };
 
-// One request to one upstream.
+// One request to one upstream: POST, or GET when the body is empty. A POST is
+// work, and is not sent to an upstream that is draining: it ends with
+// upstream_shed.
 struct upstream_call
 {
     std::string replica;
@@ -76,6 +78,9 @@
     // Connections that this instance may open.
     unsigned connection_share = 1;
     std::shared_ptr<upstream_state> state;
+    // The instance list says that the upstream is leaving. Replies that say
+    // otherwise do not revoke it.
+    bool is_leaving = false;
 };
 
 // Connections and queues of all upstreams. Each upstream belongs to one worker
@@ -87,7 +92,7 @@
 public:
     struct options
     {
-        std::size_t max_reply_bytes = 4 * 1024 * 1024;
+        std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
         std::chrono::milliseconds connect_timeout{1000};
         std::chrono::seconds idle_timeout{15};
         // A call with no byte of a reply after this long counts as sent over
@@ -105,7 +110,7 @@
     // Must be called on a worker.
     upstream_call_id start(upstream_call call, upstream_handler handler);
     // The handler is not called any more. A call on the wire is cancelled by
-    // closing its connection.
+    // closing its connection. Must be called on the worker that started it.
     void cancel(upstream_call_id call);
     // Closes idle connections; running calls go on.
     void close_idle();
--- a/Libraries/net/worker_pool.hpp
+++ b/Libraries/net/worker_pool.hpp
@@ -11,7 +11,8 @@
 {
 
 // A fixed number of io_contexts, each run by one thread. A request stays on
-// the worker that accepted it.
+// the worker that accepted it. Servers and pools that use the workers are
+// declared after them, so that they are destroyed first.
 class worker_pool
 {
 public:
@@ -30,7 +31,9 @@
     static std::size_t current();
 
 private:
-    std::vector<std::unique_ptr<boost::asio::io_context>> contexts;
+    class context;
+
+    std::vector<std::unique_ptr<context>> contexts;
     std::vector<std::thread> threads;
 };
 
