core: Limit and queue the calls to one upstream

Calls wait by priority, then deadline, and late ones are dropped unsent. Several sheds from one overload lower it once: only calls started after the last decrease count. The waiting list is its own template, because admission orders queries in the same way.

--- a/Libraries/core/connection/upstream_queue.hpp
+++ b/Libraries/core/connection/upstream_queue.hpp
@@ -3,11 +3,10 @@
 
 #include "core/base/ids.hpp"
 #include "core/base/time.hpp"
+#include "core/base/waiting_list.hpp"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -57,13 +56,11 @@
 
     // Factor of the limit after a shed or a timeout.
     static constexpr double decrease_factor = 0.7;
-    // Priorities are 0 (highest) to 3; higher values are taken as 3.
-    static constexpr unsigned lowest_priority = 3;
 
     explicit upstream_queue(options values);
 
-    // Adds a call. It starts at once when the limit allows, and is dropped at
-    // once when its deadline has passed.
+    // Adds a call; priority is 0 (highest) to 3. It starts at once when the
+    // limit allows, and is dropped at once when its deadline has passed.
     actions submit(call_id id, unsigned priority, time_point deadline,
                    time_point now);
     // Ends a started call; `latency` is the time since it was started. Unknown
@@ -87,30 +84,16 @@
     std::size_t waiting() const;
 
 private:
-    // Order of service: priority, then deadline, then id.
-    struct waiting_call
-    {
-        unsigned priority = 0;
-        time_point deadline;
-        call_id id;
-
-        // NOLINTNEXTLINE(modernize-use-nullptr): false positive of
-        // clang-tidy 14.
-        friend auto operator<=>(const waiting_call&,
-                                const waiting_call&) = default;
-    };
-
     void drop_late(actions& result, time_point now);
     void start_waiting(actions& result);
 
     unsigned share;
     // Kept as a fraction, so that several successes add up to one place.
     double adaptive_limit;
-    // Sheds and timeouts of calls started before this time are the echo of
-    // one overload and do not lower the limit again.
-    time_point last_decrease{};
-    std::set<waiting_call> queue;
-    std::map<call_id, waiting_call> waiting_by_id;
+    // Sheds and timeouts of calls started before this time belong to the
+    // overload that lowered the limit, and do not lower it again.
+    time_point last_decrease = time_point::min();
+    waiting_list<call_id> queue;
     std::set<call_id> started;
 };
 
