core: Limit the queries of a service in flight

Waiting queries start by priority and deadline; each lower priority that waits gets one start in ten. A query that finds no place is refused when its remaining time is below the median latency, or when the queue ahead would take more than half of its spare time: a queue that may use all of it starts queries so late that about half of them would miss the deadline. With a free place the median is not consulted, so that an outdated one can't refuse everything. The limit shrinks on sheds, missed deadlines and latency over twice the calm value.

--- /dev/null
+++ b/Libraries/core/process/admission.cpp
@@ -0,0 +1,215 @@
+#include "core/process/admission.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+using seconds = std::chrono::duration<double>;
+
+constexpr unsigned lowest_priority = waiting_list<query_id>::lowest_priority;
+
+// Part of a query's spare time that it may be expected to wait. If the queue
+// took all of it, half of the started queries would miss their deadline in an
+// overload that lasts.
+constexpr double waiting_share = 0.5;
+
+}
+
+admission::admission(const options& values)
+    : bounds(values)
+{
+    this->bounds.min_limit = std::max(1U, this->bounds.min_limit);
+    this->bounds.max_limit =
+        std::max(this->bounds.min_limit, this->bounds.max_limit);
+    this->adaptive_limit =
+        std::clamp(this->bounds.initial_limit, this->bounds.min_limit,
+                   this->bounds.max_limit);
+}
+
+admission::actions admission::submit(query_id id, unsigned priority,
+                                     time_point deadline, time_point now)
+{
+    actions result;
+    priority = std::min(priority, lowest_priority);
+    this->refuse_late(result, now);
+    this->start_waiting(result);
+    // With a free place the query starts whatever the median says; otherwise a
+    // median from an overload could refuse every query and never be replaced.
+    const bool has_place =
+        this->queue.size() == 0 && this->started.size() < this->limit();
+    if (deadline <= now ||
+        (!has_place && !this->can_finish(priority, deadline, now)))
+    {
+        result.refused.push_back(id);
+        return result;
+    }
+    if (!this->started.contains(id))
+        this->queue.insert(id, priority, deadline);
+    this->start_waiting(result);
+    return result;
+}
+
+admission::actions admission::finish(query_id id, admission_outcome outcome,
+                                     duration latency, time_point now)
+{
+    actions result;
+    const bool was_full = this->started.size() >= this->limit();
+    if (this->started.erase(id) == 0)
+        return result;
+    this->adapt(outcome, latency, was_full, now);
+    this->refuse_late(result, now);
+    this->start_waiting(result);
+    return result;
+}
+
+admission::actions admission::cancel(query_id id, time_point now)
+{
+    actions result;
+    this->queue.erase(id);
+    this->started.erase(id);
+    this->refuse_late(result, now);
+    this->start_waiting(result);
+    return result;
+}
+
+admission::actions admission::expire(time_point now)
+{
+    actions result;
+    this->refuse_late(result, now);
+    return result;
+}
+
+std::optional<time_point> admission::next_expiry() const
+{
+    const auto next = this->queue.next_deadline();
+    if (!next)
+        return std::nullopt;
+    return *next - this->median_latency();
+}
+
+unsigned admission::limit() const
+{
+    return static_cast<unsigned>(this->adaptive_limit);
+}
+
+std::size_t admission::running() const
+{
+    return this->started.size();
+}
+
+std::size_t admission::waiting() const
+{
+    return this->queue.size();
+}
+
+duration admission::median_latency() const
+{
+    return this->latencies.quantile(0.5, duration{0});
+}
+
+bool admission::can_finish(unsigned priority, time_point deadline,
+                           time_point now) const
+{
+    const seconds median = this->median_latency();
+    const seconds spare = seconds(deadline - now) - median;
+    if (spare <= seconds(0))
+        return false;
+    // At least the queries of the same and of higher priorities go first.
+    std::size_t ahead = 0;
+    for (unsigned higher = 0; higher <= priority; ++higher)
+        ahead += this->queue.size(higher);
+    const seconds wait =
+        static_cast<double>(ahead) * median / this->adaptive_limit;
+    return wait <= waiting_share * spare;
+}
+
+void admission::adapt(admission_outcome outcome, duration latency,
+                      bool was_full, time_point now)
+{
+    if (outcome == admission_outcome::other)
+        return;
+    bool is_overload = outcome == admission_outcome::overloaded;
+    if (!is_overload)
+    {
+        this->latencies.record(latency, now);
+        is_overload = this->is_slow_after(latency, now);
+    }
+    if (is_overload && now - latency >= this->last_decrease)
+    {
+        this->adaptive_limit = std::max<double>(
+            this->bounds.min_limit, this->adaptive_limit * decrease_factor);
+        this->last_decrease = now;
+    }
+    // A served query says something about the limit only when it was used up.
+    if (!is_overload && was_full)
+        this->adaptive_limit =
+            std::min<double>(this->bounds.max_limit,
+                             this->adaptive_limit + 1 / this->adaptive_limit);
+}
+
+bool admission::is_slow_after(duration latency, time_point now)
+{
+    const double sample = seconds(latency).count();
+    const seconds since_last = now - this->last_sample;
+    this->last_sample = now;
+    this->samples = std::min(this->samples + 1, warm_up_samples);
+    // The plain mean of the first samples, which is also the first calm value.
+    this->smoothed_latency += (sample - this->smoothed_latency) *
+                              std::max(sample_weight, 1.0 / this->samples);
+    if (this->samples < warm_up_samples)
+    {
+        this->calm_latency = this->smoothed_latency;
+        return false;
+    }
+    const double moved = 1 - std::exp2(-since_last / seconds(calm_half_life));
+    this->calm_latency =
+        std::min(this->smoothed_latency,
+                 this->calm_latency +
+                     moved * (this->smoothed_latency - this->calm_latency));
+    return this->smoothed_latency > latency_tolerance * this->calm_latency;
+}
+
+unsigned admission::next_priority()
+{
+    unsigned chosen = lowest_priority + 1;
+    for (unsigned priority = 0; priority <= lowest_priority; ++priority)
+    {
+        if (this->queue.is_empty(priority))
+            this->passed[priority] = 0;
+        else if (chosen > lowest_priority ||
+                 this->passed[priority] + 1 >= min_share_divisor)
+            chosen = priority;
+    }
+    for (unsigned priority = 0; priority <= lowest_priority; ++priority)
+    {
+        if (!this->queue.is_empty(priority))
+            ++this->passed[priority];
+    }
+    this->passed[chosen] = 0;
+    return chosen;
+}
+
+void admission::refuse_late(actions& result, time_point now)
+{
+    if (this->queue.size() == 0)
+        return;
+    const auto late = this->queue.take_until(now + this->median_latency());
+    result.refused.insert(result.refused.end(), late.begin(), late.end());
+}
+
+void admission::start_waiting(actions& result)
+{
+    while (this->queue.size() > 0 && this->started.size() < this->limit())
+    {
+        const query_id id = this->queue.take_first(this->next_priority());
+        this->started.insert(id);
+        result.start.push_back(id);
+    }
+}
+
+}
