entry: Serve queries and non-idempotent requests over the network

The entry program carries out the decisions of the core library: query sessions on the worker that accepted them, runs through the run registry, forwards to the instance that a run id names, and a control thread for the document, the directory and gossip.

--- a/Libraries/net/boost_json.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <boost/json/src.hpp>
--- /dev/null
+++ b/Programs/entry/peer_client.cpp
@@ -0,0 +1,81 @@
+#include "peer_client.hpp"
+
+#include "net/http_client.hpp"
+#include "rpc/peer_rpc.hpp"
+
+#include <boost/asio/post.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+result<std::string> call_blocking(const peer_client::options& chosen,
+                                  const std::string& address,
+                                  const std::string& method,
+                                  const std::string& parameters)
+{
+    BOOST_OUTCOME_TRY(const auto server, parse_endpoint(address));
+    const auto transport = [&](const std::string& message)
+    {
+        http_client_request post;
+        post.method = "POST";
+        post.target = "/rpc/control";
+        post.body = message;
+        post.timeout = chosen.timeout;
+        // A directory of the largest fleet planned takes 8 MB.
+        post.max_reply_bytes = 10 * 1024 * 1024;
+        auto reply = fetch_blocking(server, post);
+        if (!reply)
+            throw std::runtime_error(reply.error().message);
+        chosen.measures->count_control_bytes(
+            static_cast<double>(message.size()),
+            static_cast<double>(reply.value().body.size()));
+        return std::move(reply.value().body);
+    };
+    try
+    {
+        return call_peer(transport, method, parameters);
+    }
+    catch (const std::runtime_error& failure)
+    {
+        return error{error_kind::connect_failed, failure.what()};
+    }
+}
+
+}
+
+peer_client::peer_client(options values)
+    : chosen(values)
+    , callers(values.threads)
+{
+}
+
+void peer_client::call(const std::string& address, std::string method,
+                       std::string parameters, handler done)
+{
+    asio::post(this->callers,
+               [this, address, method = std::move(method),
+                parameters = std::move(parameters),
+                done = std::move(done)]() mutable
+               {
+                   auto answer =
+                       call_blocking(this->chosen, address, method, parameters);
+                   asio::post(*this->chosen.control,
+                              [done = std::move(done),
+                               answer = std::move(answer)]() mutable
+                              { done(std::move(answer)); });
+               });
+}
+
+void peer_client::stop()
+{
+    this->callers.join();
+}
+
+}
--- /dev/null
+++ b/Programs/entry/query_api.cpp
@@ -0,0 +1,192 @@
+#include "query_api.hpp"
+
+#include "query_session.hpp"
+#include "telemetry/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+double ratio(std::size_t part, std::size_t whole)
+{
+    return whole == 0 ? 1.0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+bool is_below_floor(const class_spec& caller_class, const query_answer& answer)
+{
+    if (answer.is_complete)
+        return false;
+    if (caller_class.partial == partial_policy::refused)
+        return true;
+    const auto shards = answer.covered.size() + answer.lacked.size();
+    return answer.covered.size() * 100 <
+           shards * caller_class.coverage_floor_percent;
+}
+
+}
+
+unsigned http_status(error_kind kind)
+{
+    struct entry
+    {
+        error_kind kind;
+        unsigned status;
+    };
+    constexpr std::array statuses{
+        entry{error_kind::malformed_request, 400},
+        entry{error_kind::body_too_large, 413},
+        entry{error_kind::deadline_passed, 408},
+        entry{error_kind::unknown_service, 404},
+        entry{error_kind::unknown_class, 404},
+        entry{error_kind::not_idempotent, 400},
+        entry{error_kind::invalid_run_id, 400},
+        entry{error_kind::run_id_required, 400},
+        entry{error_kind::internal, 500},
+    };
+    constexpr unsigned unavailable = 503;
+    const auto* found =
+        std::find_if(statuses.begin(), statuses.end(),
+                     [&](const entry& each) { return each.kind == kind; });
+    return found == statuses.end() ? unavailable : found->status;
+}
+
+http_reply error_reply(metrics& measures, const error& failure)
+{
+    measures.count_error(to_string(failure.kind));
+    http_reply reply;
+    reply.status = http_status(failure.kind);
+    reply.body = encode_error(failure);
+    return reply;
+}
+
+query_api::query_api(options values)
+    : chosen(std::move(values))
+{
+}
+
+asio::awaitable<http_reply> query_api::handle(http_request request)
+{
+    auto admitted = this->admit(request);
+    if (!admitted)
+        co_return error_reply(*this->chosen.measures, admitted.error());
+    const auto answer =
+        co_await this->run(admitted.value(), request.is_peer_gone);
+    co_return this->reply_to(admitted.value(), request.received, answer);
+}
+
+result<query_api::admitted_query> query_api::admit(const http_request& request)
+{
+    if (this->chosen.pauses->is_suspect(clock_now()))
+        return error{error_kind::instance_paused,
+                     "this instance was paused and refreshes its views; send "
+                     "the query again"};
+    admitted_query admitted;
+    BOOST_OUTCOME_TRY(admitted.request, decode_query_request(request.body));
+    auto& context = (*this->chosen.contexts)[worker_pool::current()];
+    admitted.view = context.view.current();
+    if (admitted.view == nullptr)
+        return error{error_kind::no_configuration,
+                     "this instance has no document yet; send the query to "
+                     "another instance or wait until /ready is 200"};
+    const auto& document = *admitted.view->configuration;
+    admitted.service = document.find_service(admitted.request.service);
+    if (admitted.service == nullptr)
+        return error{error_kind::unknown_service,
+                     "the document has no service \"" +
+                         admitted.request.service +
+                         "\"; use one of its [service] sections"};
+    admitted.caller_class = document.find_class(admitted.request.caller_class);
+    if (admitted.caller_class == nullptr ||
+        admitted.caller_class->service != admitted.request.service)
+        return error{error_kind::unknown_class,
+                     "service \"" + admitted.request.service +
+                         "\" has no class \"" + admitted.request.caller_class +
+                         "\"; use one of its [class] sections"};
+    if (admitted.caller_class->requests == idempotency::non_idempotent)
+        return error{error_kind::not_idempotent,
+                     "class \"" + admitted.request.caller_class +
+                         "\" is non-idempotent; send it with POST /v1/run"};
+    admitted.shared =
+        admitted.view->services.find(admitted.request.service)->second.get();
+    const auto allowed = admitted.caller_class->deadline;
+    admitted.deadline =
+        request.received +
+        std::min(admitted.request.deadline.value_or(allowed), allowed);
+    if (admitted.request.request_id.empty())
+        admitted.request.request_id = std::to_string(context.random());
+    return admitted;
+}
+
+asio::awaitable<query_answer>
+query_api::run(const admitted_query& admitted,
+               std::shared_ptr<bool> is_caller_gone)
+{
+    const auto worker = worker_pool::current();
+    query_session::options session;
+    session.worker = &this->chosen.workers->at(worker);
+    session.upstreams = this->chosen.upstreams;
+    session.measures = this->chosen.measures;
+    session.query_text = admitted.request.query;
+    session.is_caller_gone = std::move(is_caller_gone);
+    session.query.request_id = admitted.request.request_id;
+    session.query.configuration = admitted.view->configuration;
+    session.query.upstreams = admitted.view->upstreams;
+    session.query.service = admitted.service;
+    session.query.caller_class = admitted.caller_class;
+    session.query.shared = admitted.shared;
+    session.query.random = &(*this->chosen.contexts)[worker].random;
+    session.query.failure_domain = this->chosen.failure_domain;
+    session.query.deadline = admitted.deadline;
+    const auto running = std::make_shared<query_session>(std::move(session));
+    co_return co_await running->run();
+}
+
+http_reply query_api::reply_to(const admitted_query& admitted,
+                               time_point received, const query_answer& answer)
+{
+    const auto coverage = ratio(answer.covered.size(),
+                                answer.covered.size() + answer.lacked.size());
+    const auto latency = clock_now() - received;
+    this->chosen.measures->observe_query(admitted.request.caller_class, latency,
+                                         coverage,
+                                         ratio(answer.sent, answer.needed));
+    if (!answer.is_complete)
+        log_event(log_level::warning, "query_incomplete",
+                  {{"request_id", answer.request_id},
+                   {"service", admitted.request.service},
+                   {"class", admitted.request.caller_class},
+                   {"index_version", std::to_string(answer.version.value)},
+                   {"covered", std::to_string(answer.covered.size())},
+                   {"lacked", std::to_string(answer.lacked.size())}});
+    http_reply reply;
+    if (!is_below_floor(*admitted.caller_class, answer))
+    {
+        reply.body = encode_answer(answer);
+        return reply;
+    }
+    this->chosen.measures->count_error(
+        to_string(error_kind::coverage_below_floor));
+    reply.status = http_status(error_kind::coverage_below_floor);
+    reply.body = encode_low_coverage(
+        answer, "the answer lacks shards that class \"" +
+                    admitted.request.caller_class +
+                    "\" requires; send the query again or use a class that "
+                    "accepts partial answers");
+    return reply;
+}
+
+}
--- /dev/null
+++ b/Programs/entry/query_api.hpp
@@ -0,0 +1,64 @@
+#ifndef WISTERIAHATCH_ENTRY_QUERY_API_HPP
+#define WISTERIAHATCH_ENTRY_QUERY_API_HPP
+
+#include "core/process/pause_detector.hpp"
+#include "core/request/wire.hpp"
+#include "net/http_server.hpp"
+#include "net/upstream_pool.hpp"
+#include "telemetry/metrics.hpp"
+#include "worker_context.hpp"
+
+#include <string>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// Handles POST /v1/query on the worker that accepted it.
+class query_api
+{
+public:
+    struct options
+    {
+        worker_pool* workers = nullptr;
+        std::vector<worker_context>* contexts = nullptr;
+        upstream_pool* upstreams = nullptr;
+        metrics* measures = nullptr;
+        const pause_detector* pauses = nullptr;
+        std::string failure_domain;
+    };
+
+    explicit query_api(options values);
+
+    boost::asio::awaitable<http_reply> handle(http_request request);
+
+private:
+    // A query with everything it needs from the serving view.
+    struct admitted_query
+    {
+        query_request request;
+        std::shared_ptr<const serving_view> view;
+        const service_spec* service = nullptr;
+        const class_spec* caller_class = nullptr;
+        service_state* shared = nullptr;
+        time_point deadline;
+    };
+
+    result<admitted_query> admit(const http_request& request);
+    boost::asio::awaitable<query_answer>
+    run(const admitted_query& admitted, std::shared_ptr<bool> is_caller_gone);
+    http_reply reply_to(const admitted_query& admitted, time_point received,
+                        const query_answer& answer);
+
+    options chosen;
+};
+
+// The HTTP status of an error told to a caller.
+unsigned http_status(error_kind kind);
+
+// The HTTP reply for an error told to a caller; counts it.
+http_reply error_reply(metrics& measures, const error& failure);
+
+}
+
+#endif
--- /dev/null
+++ b/Programs/entry/query_session.cpp
@@ -0,0 +1,153 @@
+#include "query_session.hpp"
+
+#include "core/request/wire.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_version_unavailable = 409;
+constexpr unsigned status_shed = 503;
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+error_kind failure_of_status(unsigned status)
+{
+    if (status == status_version_unavailable)
+        return error_kind::wrong_version;
+    if (status == status_shed)
+        return error_kind::upstream_shed;
+    return error_kind::internal;
+}
+
+}
+
+query_session::query_session(options values)
+    : chosen(std::move(values))
+    , service_name(this->chosen.query.service->name)
+    , priority(this->chosen.query.caller_class->priority)
+    , decisions(std::move(this->chosen.query))
+    , timer(*this->chosen.worker)
+    , finished(*this->chosen.worker, time_point::max())
+{
+}
+
+asio::awaitable<query_answer> query_session::run()
+{
+    this->apply(this->decisions.start(clock_now()));
+    while (!this->has_answer)
+    {
+        boost::system::error_code ignored;
+        co_await this->finished.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return std::move(this->answer);
+}
+
+void query_session::apply(std::vector<query_action> actions)
+{
+    for (auto& action : actions)
+        std::visit([this](auto& each) { this->act(each); }, action);
+}
+
+void query_session::act(const send_attempt& action)
+{
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(action.deadline -
+                                                              clock_now());
+    upstream_call call;
+    call.replica = action.replica;
+    call.target = "/search";
+    call.body = encode_search(action, this->service_name,
+                              this->chosen.query_text, remaining);
+    call.deadline = action.deadline;
+    call.priority = this->priority;
+    const auto attempt = action.attempt;
+    this->calls[attempt] = this->chosen.upstreams->start(
+        std::move(call),
+        [self = this->shared_from_this(), attempt](upstream_result outcome)
+        { self->finish_attempt(attempt, std::move(outcome)); });
+}
+
+void query_session::act(const cancel_attempt& action)
+{
+    const auto found = this->calls.find(action.attempt);
+    if (found == this->calls.end())
+        return;
+    this->chosen.upstreams->cancel(found->second);
+    this->calls.erase(found);
+}
+
+void query_session::act(const set_timer& action)
+{
+    this->timer.expires_at(action.at);
+    this->timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code failure)
+        {
+            if (failure || self->has_answer)
+                return;
+            const bool is_gone = self->chosen.is_caller_gone != nullptr &&
+                                 *self->chosen.is_caller_gone;
+            self->apply(is_gone ? self->decisions.abandon(clock_now())
+                                : self->decisions.handle_timer(clock_now()));
+            if (!is_gone)
+                return;
+            // Nobody reads the answer; ending here frees the request.
+            self->has_answer = true;
+            self->finished.cancel();
+        });
+}
+
+void query_session::act(finish_query& action)
+{
+    this->answer = std::move(action.answer);
+    this->has_answer = true;
+    this->timer.cancel();
+    this->finished.cancel();
+}
+
+void query_session::finish_attempt(attempt_id attempt, upstream_result outcome)
+{
+    this->calls.erase(attempt);
+    if (this->has_answer)
+        return;
+    if (!outcome)
+    {
+        this->fail_attempt(attempt, outcome.error().kind);
+        return;
+    }
+    if (outcome.value().status != status_ok)
+    {
+        this->fail_attempt(attempt, failure_of_status(outcome.value().status));
+        return;
+    }
+    auto reply = decode_search_reply(outcome.value().body);
+    if (!reply)
+    {
+        this->fail_attempt(attempt, reply.error().kind);
+        return;
+    }
+    this->apply(this->decisions.handle_reply(attempt, std::move(reply.value()),
+                                             clock_now()));
+}
+
+void query_session::fail_attempt(attempt_id attempt, error_kind kind)
+{
+    this->chosen.measures->count_upstream_failure(this->service_name,
+                                                  to_string(kind));
+    this->apply(this->decisions.handle_failure(attempt, kind, clock_now()));
+}
+
+}
--- /dev/null
+++ b/Programs/entry/query_session.hpp
@@ -0,0 +1,63 @@
+#ifndef WISTERIAHATCH_ENTRY_QUERY_SESSION_HPP
+#define WISTERIAHATCH_ENTRY_QUERY_SESSION_HPP
+
+#include "core/request/query.hpp"
+#include "net/upstream_pool.hpp"
+#include "telemetry/metrics.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace wisteriahatch
+{
+
+// Carries out the actions of one query over the network. Lives on the worker
+// that accepted the request.
+class query_session : public std::enable_shared_from_this<query_session>
+{
+public:
+    struct options
+    {
+        boost::asio::io_context* worker = nullptr;
+        upstream_pool* upstreams = nullptr;
+        metrics* measures = nullptr;
+        std::string query_text;
+        // Set by the HTTP server when the caller closed its connection.
+        std::shared_ptr<bool> is_caller_gone;
+        query_options query;
+    };
+
+    explicit query_session(options values);
+
+    // Runs the query to its end. Must be called once, on the worker.
+    boost::asio::awaitable<query_answer> run();
+
+private:
+    void apply(std::vector<query_action> actions);
+    void act(const send_attempt& action);
+    void act(const cancel_attempt& action);
+    void act(const set_timer& action);
+    void act(finish_query& action);
+    void finish_attempt(attempt_id attempt, upstream_result outcome);
+    void fail_attempt(attempt_id attempt, error_kind kind);
+
+    options chosen;
+    // Kept apart from `chosen.query`, whose content moves into the query.
+    std::string service_name;
+    unsigned priority = 0;
+    query decisions;
+    boost::asio::steady_timer timer;
+    // Expires never; cancelled when the query has ended.
+    boost::asio::steady_timer finished;
+    std::map<attempt_id, upstream_call_id> calls;
+    query_answer answer;
+    bool has_answer = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Programs/entry/run_service.cpp
@@ -0,0 +1,429 @@
+#include "run_service.hpp"
+
+#include "net/http_client.hpp"
+#include "rpc/peer_rpc.hpp"
+#include "telemetry/log.hpp"
+
+#include <algorithm>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr std::size_t owner_worker = 0;
+// Forwards waiting for other instances at once; more wait for a thread.
+constexpr std::size_t forwarding_threads = 8;
+constexpr std::chrono::milliseconds timer_period{20};
+constexpr unsigned status_ok = 200;
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::chrono::milliseconds remaining_until(time_point deadline)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
+                                                                 clock_now());
+}
+
+// What an upstream's answer, or its absence, proves about a run.
+struct run_evidence
+{
+    bool has_reply = false;
+    std::string reply;
+    run_failure failure = run_failure::lost_after_send;
+};
+
+run_evidence evidence_of(const std::string& request_id,
+                         const upstream_result& outcome)
+{
+    run_evidence evidence;
+    if (!outcome)
+    {
+        if (!outcome.error().was_sent)
+            evidence.failure = run_failure::never_sent;
+        return evidence;
+    }
+    auto reply = decode_upstream_run(outcome.value().body);
+    if (!reply || reply.value().request_id != request_id)
+        return evidence;
+    if (!reply.value().started)
+    {
+        evidence.failure = run_failure::refused_by_upstream;
+        return evidence;
+    }
+    evidence.has_reply = outcome.value().status == status_ok;
+    evidence.reply = std::move(reply.value().result);
+    return evidence;
+}
+
+// Blocks until the owner answered; unknown when it can't be asked.
+run_answer ask_owner(const run_request& request, const run_id& id,
+                     time_point deadline)
+{
+    const auto remaining = remaining_until(deadline);
+    const auto owner = parse_endpoint(id.instance);
+    if (!owner || remaining <= std::chrono::milliseconds::zero())
+        return {};
+    run_request forwarded = request;
+    forwarded.deadline = remaining;
+    const auto transport = [&](const std::string& message)
+    {
+        http_client_request post;
+        post.method = "POST";
+        post.target = "/rpc/run";
+        post.body = message;
+        post.timeout = remaining;
+        auto reply = fetch_blocking(owner.value(), post);
+        if (!reply)
+            throw std::runtime_error(reply.error().message);
+        return reply.value().body;
+    };
+    try
+    {
+        const auto text =
+            call_peer(transport, "run.forward", encode_run_request(forwarded));
+        auto answer = decode_run_answer(text);
+        return answer ? std::move(answer.value()) : run_answer{};
+    }
+    catch (const std::runtime_error& failure)
+    {
+        log_event(log_level::warning, "run_forward_failed",
+                  {{"run_id", request.run_id}, {"reason", failure.what()}});
+        return {};
+    }
+}
+
+}
+
+run_service::run_service(options values)
+    : chosen(std::move(values))
+    , registry(this->chosen.registry)
+    , timer(this->chosen.workers->at(owner_worker))
+    , forwarders(forwarding_threads)
+{
+}
+
+run_service::~run_service() = default;
+
+void run_service::start()
+{
+    asio::post(this->chosen.workers->at(owner_worker),
+               [this] { this->arm_timer(); });
+}
+
+void run_service::stop()
+{
+    this->forwarders.join();
+}
+
+asio::awaitable<result<std::string>> run_service::issue(std::string service)
+{
+    auto& context = (*this->chosen.contexts)[worker_pool::current()];
+    const auto view = context.view.current();
+    if (view == nullptr)
+        co_return error{error_kind::no_configuration,
+                        "this instance has no document yet; ask another "
+                        "instance or wait until /ready is 200"};
+    if (view->configuration->find_service(service) == nullptr)
+        co_return error{error_kind::unknown_service,
+                        "the document has no service \"" + service +
+                            "\"; use one of its [service] sections"};
+    const std::lock_guard lock(this->registry_mutex);
+    auto issued = this->registry.issue(clock_now());
+    if (!issued)
+        co_return issued.error();
+    co_return to_string(issued.value());
+}
+
+bool run_service::was_issued(const run_id& id)
+{
+    const std::lock_guard lock(this->registry_mutex);
+    return this->registry.was_issued(id);
+}
+
+result<run_submission> run_service::check(const run_request& request,
+                                          const run_id& id, time_point received)
+{
+    auto& context = (*this->chosen.contexts)[worker_pool::current()];
+    const auto view = context.view.current();
+    if (view == nullptr)
+        return error{error_kind::no_configuration,
+                     "this instance has no document yet; repeat the request "
+                     "with the same run id"};
+    const auto* service = view->configuration->find_service(request.service);
+    if (service == nullptr)
+        return error{error_kind::unknown_service,
+                     "the document has no service \"" + request.service +
+                         "\"; use one of its [service] sections"};
+    const auto* caller_class =
+        view->configuration->find_class(request.caller_class);
+    if (caller_class == nullptr || caller_class->service != request.service ||
+        caller_class->requests != idempotency::non_idempotent)
+        return error{error_kind::unknown_class,
+                     "service \"" + request.service +
+                         "\" has no non-idempotent class \"" +
+                         request.caller_class +
+                         "\"; use a [class] section with idempotent = no"};
+    run_submission submission;
+    submission.id = id;
+    submission.service = request.service;
+    submission.caller_class = request.caller_class;
+    submission.payload = request.payload;
+    submission.deadline =
+        received + std::min(request.deadline.value_or(caller_class->deadline),
+                            caller_class->deadline);
+    return submission;
+}
+
+asio::awaitable<result<run_answer>> run_service::run(run_request request,
+                                                     time_point received)
+{
+    auto id = parse_run_id(request.run_id);
+    if (!id)
+        co_return id.error();
+    if (this->registry.owns(id.value()) && !this->was_issued(id.value()))
+        co_return error{error_kind::invalid_run_id,
+                        "this instance never issued run id \"" +
+                            request.run_id +
+                            "\"; get one with POST /v1/run-ids"};
+    auto submission = this->check(request, id.value(), received);
+    if (!submission)
+        co_return submission.error();
+    const auto deadline = submission.value().deadline;
+    run_answer answer;
+    if (this->registry.owns(id.value()))
+    {
+        auto on_owner = asio::co_spawn(
+            this->chosen.workers->at(owner_worker),
+            this->submit(std::move(submission.value())), asio::use_awaitable);
+        answer = co_await std::move(on_owner);
+    }
+    else
+    {
+        auto forwarded = asio::co_spawn(
+            this->forwarders.get_executor(),
+            this->forward(std::move(request), id.value(), deadline),
+            asio::use_awaitable);
+        answer = co_await std::move(forwarded);
+    }
+    co_return answer;
+}
+
+std::string run_service::run_forwarded(const std::string& parameters)
+{
+    const auto received = clock_now();
+    auto request = decode_run_request(parameters);
+    if (!request)
+        throw std::runtime_error(request.error().message);
+    auto id = parse_run_id(request.value().run_id);
+    if (!id)
+        throw std::runtime_error(id.error().message);
+    // Another incarnation may have run the request: only its owner may tell.
+    if (!this->registry.owns(id.value()))
+        return encode_run_answer(request.value().run_id, run_answer{});
+    auto running = asio::co_spawn(
+        this->chosen.workers->at(owner_worker),
+        [this, &request, &id, received]() -> asio::awaitable<run_answer>
+        {
+            auto submission =
+                this->check(request.value(), id.value(), received);
+            if (!submission)
+                throw std::runtime_error(submission.error().message);
+            co_return co_await this->submit(std::move(submission.value()));
+        },
+        asio::use_future);
+    return encode_run_answer(request.value().run_id, running.get());
+}
+
+asio::awaitable<run_answer> run_service::submit(run_submission submission)
+{
+    const auto now = clock_now();
+    const auto started = now;
+    // After a pause nobody knows how long the request waited in a socket
+    // buffer, so an unsent one is sealed instead of being run late.
+    if (this->chosen.pauses->is_suspect(now))
+        submission.deadline = now;
+    submission.waiter = this->next_waiter++;
+    const auto token = submission.waiter;
+    auto waiting = std::make_shared<waiter>(
+        waiter{asio::steady_timer(this->chosen.workers->at(owner_worker),
+                                  time_point::max()),
+               {},
+               false});
+    this->waiters.emplace(token, waiting);
+    std::vector<run_action> actions;
+    {
+        const std::lock_guard lock(this->registry_mutex);
+        actions = this->registry.submit(submission, now);
+    }
+    this->apply(std::move(actions));
+    while (!waiting->has_answer)
+    {
+        boost::system::error_code ignored;
+        co_await waiting->answered.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    this->chosen.measures->count_run(submission.caller_class,
+                                     to_string(waiting->answer.outcome),
+                                     clock_now() - started);
+    co_return std::move(waiting->answer);
+}
+
+asio::awaitable<run_answer> run_service::forward(run_request request, run_id id,
+                                                 time_point deadline)
+{
+    co_return ask_owner(request, id, deadline);
+}
+
+void run_service::apply(std::vector<run_action> actions)
+{
+    for (const auto& action : actions)
+        std::visit([this](const auto& each) { this->act(each); }, action);
+}
+
+upstream_state* run_service::choose_replica(const dispatch_run& action)
+{
+    auto& context = (*this->chosen.contexts)[owner_worker];
+    const auto view = context.view.current();
+    const auto* service = view->configuration->find_service(action.service);
+    if (service == nullptr)
+        return nullptr;
+    const auto now = clock_now();
+    const auto& already_tried = this->tried[action.id.sequence];
+    std::vector<upstream_state*> usable;
+    std::vector<upstream_state*> ejected;
+    for (const auto& group : service->groups)
+    {
+        for (const auto& replica : group.replicas)
+        {
+            const auto found = view->upstreams->find(replica.name);
+            if (found == view->upstreams->end() ||
+                found->second->is_draining() ||
+                already_tried.contains(replica.name))
+                continue;
+            auto& candidates =
+                found->second->is_ejected(now) ? ejected : usable;
+            candidates.push_back(found->second.get());
+        }
+    }
+    const auto shared = view->services.find(action.service);
+    return shared->second->selector().choose(usable.empty() ? ejected : usable,
+                                             this->chosen.failure_domain, now,
+                                             context.random);
+}
+
+upstream_call run_service::make_call(const dispatch_run& action,
+                                     const std::string& replica)
+{
+    upstream_call call;
+    call.replica = replica;
+    call.target = "/run";
+    call.body = encode_upstream_run(to_string(action.id), action,
+                                    remaining_until(action.deadline));
+    call.deadline = action.deadline;
+    call.use = connection_use::fresh;
+    call.before_send = [this, id = action.id, attempt = action.attempt]
+    {
+        const std::lock_guard lock(this->registry_mutex);
+        return this->registry.confirm_send(id, attempt, clock_now());
+    };
+    return call;
+}
+
+void run_service::act(const dispatch_run& action)
+{
+    auto* replica = this->choose_replica(action);
+    if (replica == nullptr)
+    {
+        upstream_failure nobody;
+        nobody.kind = error_kind::connect_failed;
+        nobody.message = "no usable replica of " + action.service;
+        this->finish(action.id, action.attempt, nobody);
+        return;
+    }
+    this->tried[action.id.sequence].insert(replica->name());
+    this->chosen.upstreams->start(
+        this->make_call(action, replica->name()),
+        [this, id = action.id,
+         attempt = action.attempt](const upstream_result& outcome)
+        { this->finish(id, attempt, outcome); });
+}
+
+void run_service::finish(const run_id& id, unsigned attempt,
+                         const upstream_result& outcome)
+{
+    auto evidence = evidence_of(to_string(id), outcome);
+    std::vector<run_action> actions;
+    {
+        const std::lock_guard lock(this->registry_mutex);
+        actions = evidence.has_reply
+                      ? this->registry.handle_reply(
+                            id, attempt, std::move(evidence.reply), clock_now())
+                      : this->registry.handle_failure(
+                            id, attempt, evidence.failure, clock_now());
+    }
+    this->apply(std::move(actions));
+}
+
+void run_service::act(const answer_run& action)
+{
+    this->tried.erase(action.id.sequence);
+    const auto found = this->waiters.find(action.waiter);
+    if (found == this->waiters.end())
+        return;
+    log_event(log_level::info, "run_answered",
+              {{"run_id", to_string(action.id)},
+               {"outcome", std::string(to_string(action.outcome))}});
+    found->second->answer = {action.outcome, action.reply};
+    found->second->has_answer = true;
+    found->second->answered.cancel();
+    this->waiters.erase(found);
+}
+
+void run_service::seal_unsent()
+{
+    asio::post(this->chosen.workers->at(owner_worker),
+               [this]
+               {
+                   std::vector<run_action> actions;
+                   {
+                       const std::lock_guard lock(this->registry_mutex);
+                       actions = this->registry.seal_unsent(clock_now());
+                   }
+                   this->apply(std::move(actions));
+               });
+}
+
+void run_service::arm_timer()
+{
+    this->timer.expires_after(timer_period);
+    this->timer.async_wait(
+        [this](boost::system::error_code failure)
+        {
+            if (failure)
+                return;
+            std::vector<run_action> actions;
+            {
+                const std::lock_guard lock(this->registry_mutex);
+                actions = this->registry.handle_timer(clock_now());
+            }
+            this->apply(std::move(actions));
+            this->arm_timer();
+        });
+}
+
+}
