entry: Probe replicas for drains and index versions

A replica without traffic never says that it drains or that it holds a new index version. Each is asked for its status once in 15 s, a draining one each second, over the connections of the pool, so that no server's limit is passed.

--- a/Programs/entry/entry_process.cpp
+++ b/Programs/entry/entry_process.cpp
@@ -93,6 +93,9 @@
           .registry = {.instance = text_of(this->values.peer_address),
                        .self = this->self},
           .failure_domain = this->values.failure_domain})
+    , prober(status_prober::options{.workers = &this->workers,
+                                    .contexts = &this->contexts,
+                                    .upstreams = &this->upstreams})
     , admin(admin_api::options{.values = &this->values,
                                .control = &this->control,
                                .measures = &this->measures,
@@ -124,6 +127,7 @@
     this->workers.start();
     this->control_worker.start();
     this->runs.start();
+    this->prober.start();
     asio::post(this->control_worker.at(0), [this] { this->control.start(); });
     log_event(log_level::info, "started",
               {{"name", this->values.name},
--- a/Programs/entry/entry_process.hpp
+++ b/Programs/entry/entry_process.hpp
@@ -10,6 +10,7 @@
 #include "query_api.hpp"
 #include "run_service.hpp"
 #include "settings.hpp"
+#include "status_prober.hpp"
 #include "telemetry/metrics.hpp"
 #include "worker_context.hpp"
 
@@ -54,6 +55,7 @@
     control_loop control;
     query_api queries;
     run_service runs;
+    status_prober prober;
     admin_api admin;
     rpc_server forwards;
     boost::asio::thread_pool forward_threads;
--- /dev/null
+++ b/Programs/entry/status_prober.cpp
@@ -0,0 +1,66 @@
+#include "status_prober.hpp"
+
+#include <boost/asio/post.hpp>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+constexpr std::size_t prober_worker = 0;
+// Below the priority of every class, so that a probe never delays a query.
+constexpr unsigned lowest_priority = 3;
+
+}
+
+status_prober::status_prober(options values)
+    : chosen(values)
+    , timer(values.workers->at(prober_worker))
+{
+}
+
+void status_prober::start()
+{
+    boost::asio::post(this->chosen.workers->at(prober_worker),
+                      [this] { this->run_step(); });
+}
+
+void status_prober::run_step()
+{
+    constexpr std::size_t steps_per_round = full_round / step;
+    const auto& view = (*this->chosen.contexts)[prober_worker].view.current();
+    if (view != nullptr)
+    {
+        std::size_t position = 0;
+        for (const auto& [name, state] : *view->upstreams)
+        {
+            const bool is_due =
+                position++ % steps_per_round == this->steps % steps_per_round;
+            if (is_due || state->is_draining())
+                this->probe(name);
+        }
+    }
+    ++this->steps;
+    this->timer.expires_after(step);
+    this->timer.async_wait(
+        [this](boost::system::error_code failure)
+        {
+            if (!failure)
+                this->run_step();
+        });
+}
+
+void status_prober::probe(const std::string& replica)
+{
+    upstream_call call;
+    call.replica = replica;
+    call.target = "/status";
+    call.deadline = std::chrono::steady_clock::now() + step;
+    call.priority = lowest_priority;
+    // The pool stores what the reply says of the replica.
+    this->chosen.upstreams->start(std::move(call),
+                                  [](const upstream_result&) {});
+}
+
+}
--- /dev/null
+++ b/Programs/entry/status_prober.hpp
@@ -0,0 +1,50 @@
+#ifndef WISTERIAHATCH_ENTRY_STATUS_PROBER_HPP
+#define WISTERIAHATCH_ENTRY_STATUS_PROBER_HPP
+
+#include "net/upstream_pool.hpp"
+#include "net/worker_pool.hpp"
+#include "worker_context.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// Asks replicas for their status over the connections of the upstream pool, so
+// that a drain, its end and a new index version are noticed without traffic.
+// Runs on worker 0.
+class status_prober
+{
+public:
+    // Every replica is asked once in this time.
+    static constexpr std::chrono::seconds full_round{15};
+    // Time between two steps; a draining replica is asked in each.
+    static constexpr std::chrono::milliseconds step{1000};
+
+    struct options
+    {
+        worker_pool* workers = nullptr;
+        std::vector<worker_context>* contexts = nullptr;
+        upstream_pool* upstreams = nullptr;
+    };
+
+    explicit status_prober(options values);
+
+    void start();
+
+private:
+    void run_step();
+    void probe(const std::string& replica);
+
+    options chosen;
+    boost::asio::steady_timer timer;
+    std::size_t steps = 0;
+};
+
+}
+
+#endif
--- a/Programs/entry/view_builder.cpp
+++ b/Programs/entry/view_builder.cpp
@@ -105,7 +105,8 @@
                     upstream_address{.endpoint = endpoint.value(),
                                      .connection_share = std::max(
                                          1U, plan.connections_per_owner),
-                                     .state = std::move(state)});
+                                     .state = std::move(state),
+                                     .is_leaving = is_leaving});
             }
         }
     }
