--- a/Libraries/core/base/ids.hpp
+++ b/Libraries/core/base/ids.hpp
@@ -13,6 +13,7 @@
 {
     std::uint64_t value = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14.
     friend auto operator<=>(const strong_id&, const strong_id&) = default;
 };
 
--- a/Libraries/core/process/directory.hpp
+++ b/Libraries/core/process/directory.hpp
@@ -60,7 +60,7 @@
 using directory_ptr = std::shared_ptr<const directory>;
 
 // Largest list that is read, in bytes: 30,000 instances at about 200 bytes.
-inline constexpr std::size_t max_directory_bytes = 8 * 1024 * 1024;
+inline constexpr std::size_t max_directory_bytes = 8388608;
 
 // Reads the JSON of GET /instances and of directory.fetch. A list that is too
 // large, malformed or names an instance twice is a malformed_request.
--- a/Libraries/core/process/gossip_codec.hpp
+++ b/Libraries/core/process/gossip_codec.hpp
@@ -15,7 +15,7 @@
 
 // Largest gossip.exchange message, in bytes: a full bucket at 250 bytes a
 // record.
-inline constexpr std::size_t max_gossip_bytes = 64 * 1024;
+inline constexpr std::size_t max_gossip_bytes = 65536;
 
 // Writes a message as JSON. 64-bit hashes and nonces are hexadecimal strings.
 std::string encode_gossip(const gossip_message& message);
--- a/Libraries/core/request/run_registry.cpp
+++ b/Libraries/core/request/run_registry.cpp
@@ -242,7 +242,9 @@
     if (entry == this->records.end())
         return this->submit(submission, now);
     auto& found = entry->second;
-    if (found.current != phase::issued && found.current != phase::waiting)
+    const bool is_sealable =
+        found.current == phase::issued || found.current == phase::waiting;
+    if (!is_sealable || this->chosen.fault == control_fault::skip_sealing)
         return this->submit(submission, now);
     std::vector<run_action> actions;
     found.waiters.push_back({submission.waiter, submission.deadline});
--- a/Libraries/core/version/document.hpp
+++ b/Libraries/core/version/document.hpp
@@ -24,6 +24,7 @@
     // SHA-256 of the document's bytes, lower-case hexadecimal.
     std::string digest;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive of clang-tidy 14.
     friend auto operator<=>(const document_key&, const document_key&) = default;
 };
 
--- /dev/null
+++ b/Tests/core/process/pause_detector.cpp
@@ -0,0 +1,45 @@
+#include "core/process/pause_detector.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+// Guards against work that goes on after a pause as if no time had passed, and
+// against false alarms between late ticks.
+TEST_CASE("pauses are seen at the next event and for the settling time")
+{
+    struct row
+    {
+        // Ticks, and the time of the question, in ms after the start.
+        std::vector<int> ticks;
+        int asked;
+        bool is_suspect;
+        int pauses;
+    };
+    const row rows[] = {
+        {{}, 500, false, 0},
+        {{}, 501, true, 0},
+        {{500, 1000}, 1500, false, 0},
+        {{501}, 501, true, 1},
+        {{501}, 700, true, 1},
+        {{501, 690}, 701, false, 1},
+        // A second thread that read the clock before the pause.
+        {{600, 40}, 799, true, 1},
+        {{600, 600}, 800, false, 1},
+        {{600, 1200}, 1399, true, 2},
+    };
+    const time_point start{1h};
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.asked);
+        pause_detector detector(start);
+        int pauses = 0;
+        for (const auto tick : row.ticks)
+            pauses += detector.tick(start + std::chrono::milliseconds(tick));
+        CHECK(detector.is_suspect(start + std::chrono::milliseconds(
+                                              row.asked)) == row.is_suspect);
+        CHECK(pauses == row.pauses);
+    }
+}
