--- a/Libraries/core/base/boost_json.cpp
+++ b/Libraries/core/base/boost_json.cpp
@@ -1,3 +1,2 @@
-// Compiles Boost.JSON once: libboost-dev brings its headers, and the compiled
-// library is a separate package for the default Boost only.
+// Compiles Boost.JSON into this library; it has no package of its own here.
 #include <boost/json/src.hpp>
