core: Move documents between instances as deltas

A store answers document.fetch with a delta against the newest base that both hold, unless the text is shorter, and with the whole text otherwise.

--- a/Libraries/core/process/document_store.cpp
+++ b/Libraries/core/process/document_store.cpp
@@ -1,5 +1,6 @@
 #include "core/process/document_store.hpp"
 
+#include "core/version/document_delta.hpp"
 #include "core/version/ownership.hpp"
 
 #include <algorithm>
@@ -207,6 +208,20 @@
     }
     transfer.form = transfer_form::text;
     transfer.body = this->in_force->text;
+    const auto base =
+        std::ranges::find_if(this->bases, [&](const document_ptr& candidate)
+                             { return holds(candidate->key.digest); });
+    if (base == this->bases.end())
+        return transfer;
+    auto delta =
+        encode_delta(compute_delta((*base)->text, this->in_force->text));
+    // A text that shares little with its base is shorter by itself.
+    if (delta.size() < transfer.body.size())
+    {
+        transfer.form = transfer_form::delta;
+        transfer.base = (*base)->key.digest;
+        transfer.body = std::move(delta);
+    }
     return transfer;
 }
 
@@ -274,7 +289,18 @@
 {
     if (transfer.form == transfer_form::text)
         return transfer.body;
-    return std::nullopt;
+    if (transfer.form != transfer_form::delta)
+        return std::nullopt;
+    const auto base = std::ranges::find(this->bases, transfer.base,
+                                        [](const document_ptr& candidate)
+                                        { return candidate->key.digest; });
+    const auto delta = decode_delta(transfer.body);
+    if (base == this->bases.end() || !delta)
+        return std::nullopt;
+    auto text = apply_delta((*base)->text, delta.value());
+    if (!text)
+        return std::nullopt;
+    return std::move(text.value());
 }
 
 void document_store::reject(const std::string& digest)
