load: Add an open-loop load driver for the caller interface

Latency has to count from the time a request was due, and cut requests have to be told from refused ones; a closed loop or the server's own metrics show neither. Before it reuses a connection it looks whether the server has closed it, because a request written then would count as cut.

--- /dev/null
+++ b/Programs/load/keep_alive_client.hpp
@@ -0,0 +1,70 @@
+#ifndef WISTERIAHATCH_LOAD_KEEP_ALIVE_CLIENT_HPP
+#define WISTERIAHATCH_LOAD_KEEP_ALIVE_CLIENT_HPP
+
+#include "core/base/time.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace wisteriahatch
+{
+
+// How an exchange with an entry ended.
+enum class exchange_end : std::uint8_t
+{
+    replied,
+    // No byte was written.
+    connect_failed,
+    // The connection was closed or reset, without a whole reply, after the
+    // request was written.
+    cut,
+    timed_out,
+    // No connection became free in time.
+    no_connection,
+    malformed_reply,
+};
+
+// The reply, or how the exchange ended without one.
+struct exchange_result
+{
+    exchange_end end = exchange_end::connect_failed;
+    unsigned status = 0;
+    std::string body;
+    // True when the connection had carried an earlier request.
+    bool was_reused = false;
+};
+
+// One request to one server.
+struct exchange_request
+{
+    boost::asio::ip::tcp::endpoint server;
+    std::string method = "POST";
+    std::string target;
+    std::string body;
+    // The exchange ends with timed_out or no_connection at this time.
+    time_point give_up;
+};
+
+// HTTP/1.1 client that keeps connections open and bounds their number over
+// all servers. For one thread.
+class keep_alive_client
+{
+public:
+    keep_alive_client(boost::asio::io_context& context,
+                      unsigned max_connections);
+    ~keep_alive_client();
+
+    boost::asio::awaitable<exchange_result> exchange(exchange_request request);
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> state;
+};
+
+}
+
+#endif
