--- a/Programs/entry/run_service.cpp
+++ b/Programs/entry/run_service.cpp
@@ -270,7 +270,7 @@
         const std::lock_guard lock(this->registry_mutex);
         actions = this->registry.submit(submission, now);
     }
-    this->apply(std::move(actions));
+    this->apply(actions);
     while (!waiting->has_answer)
     {
         boost::system::error_code ignored;
@@ -289,7 +289,7 @@
     co_return ask_owner(request, id, deadline);
 }
 
-void run_service::apply(std::vector<run_action> actions)
+void run_service::apply(const std::vector<run_action>& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& each) { this->act(each); }, action);
@@ -376,7 +376,7 @@
                       : this->registry.handle_failure(
                             id, attempt, evidence.failure, clock_now());
     }
-    this->apply(std::move(actions));
+    this->apply(actions);
 }
 
 void run_service::act(const answer_run& action)
@@ -404,7 +404,7 @@
                        const std::lock_guard lock(this->registry_mutex);
                        actions = this->registry.seal_unsent(clock_now());
                    }
-                   this->apply(std::move(actions));
+                   this->apply(actions);
                });
 }
 
@@ -421,7 +421,7 @@
                 const std::lock_guard lock(this->registry_mutex);
                 actions = this->registry.handle_timer(clock_now());
             }
-            this->apply(std::move(actions));
+            this->apply(actions);
             this->arm_timer();
         });
 }
--- a/Programs/entry/settings.cpp
+++ b/Programs/entry/settings.cpp
@@ -99,7 +99,7 @@
     }
     std::string message = "write one of:";
     for (const auto choice : choices)
-        message += " " + std::string(choice);
+        message.append(" ").append(choice);
     return invalid(message);
 }
 
@@ -188,7 +188,8 @@
 {
     for (const auto& [key, value] : keys)
     {
-        const auto place = "[" + section + "] " + key;
+        auto place = "[" + section + "] ";
+        place += key;
         const auto* reader = find_reader(section, key);
         if (reader == nullptr)
             return invalid(place + " is not a known setting; remove it or see "
@@ -196,8 +197,9 @@
         const auto text = value.data();
         const auto read = reader->read(values, text);
         if (!read)
-            return invalid(place + " = \"" + text +
-                           "\": " + read.error().message);
+            return invalid(
+                place.append(" = \"").append(text).append("\": ").append(
+                    read.error().message));
     }
     return boost::outcome_v2::success();
 }
