--- a/Libraries/core/connection/upstream_queue.hpp
+++ b/Libraries/core/connection/upstream_queue.hpp
@@ -56,6 +56,9 @@
 
     // Factor of the limit after a shed or a timeout.
     static constexpr double decrease_factor = 0.7;
+    // Priorities are 0 (highest) to 3; higher values are taken as 3.
+    static constexpr unsigned lowest_priority =
+        waiting_list<call_id>::lowest_priority;
 
     explicit upstream_queue(options values);
 
