--- /dev/null
+++ b/Tests/core/connection/upstream_state.cpp
@@ -0,0 +1,119 @@
+#include "core/connection/upstream_state.hpp"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace wisteriahatch;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+const time_point start{seconds(1000)};
+
+void fail(upstream_state& replica, unsigned times, time_point now)
+{
+    for (unsigned time = 0; time < times; ++time)
+    {
+        replica.record_start();
+        replica.record_failure(milliseconds(100), now);
+    }
+}
+
+}
+
+// Guards against a dead replica that gets every query, and against one that is
+// never tried again.
+TEST_CASE("five failures in a row eject a replica for 1 s doubling to 30 s")
+{
+    upstream_state replica("a", "d", start);
+    fail(replica, 4, start);
+    CHECK_FALSE(replica.is_ejected(start));
+    replica.record_start();
+    replica.record_success(milliseconds(1), start);
+    fail(replica, 4, start);
+    CHECK_FALSE(replica.is_ejected(start));
+
+    time_point now = start;
+    for (const int length : {1, 2, 4, 8, 16, 30, 30})
+    {
+        CAPTURE(length);
+        // The second failure belongs to an attempt that already ran.
+        fail(replica, 2, now);
+        CHECK(replica.is_ejected(now + seconds(length) - milliseconds(1)));
+        CHECK_FALSE(replica.is_ejected(now + seconds(length)));
+        now += seconds(length);
+    }
+    replica.record_success(milliseconds(1), now);
+    fail(replica, 5, now);
+    CHECK_FALSE(replica.is_ejected(now + seconds(1)));
+}
+
+// Guards against choosing a replica because it fails or is given up quickly.
+TEST_CASE("failures and unanswered attempts look slow")
+{
+    struct scenario
+    {
+        void (*record)(upstream_state&);
+        bool is_slower;
+    };
+    const scenario scenarios[] = {
+        {[](upstream_state& replica)
+         { replica.record_failure(milliseconds(100), start); },
+         true},
+        {[](upstream_state& replica)
+         { replica.record_failure(milliseconds(0), start); },
+         false},
+        {[](upstream_state& replica)
+         { replica.record_unanswered(milliseconds(50), start); },
+         true},
+        {[](upstream_state& replica)
+         { replica.record_unanswered(milliseconds(1), start); },
+         false},
+        {[](upstream_state& replica) { replica.record_cancel(); }, false},
+    };
+    for (const auto& entry : scenarios)
+    {
+        upstream_state replica("a", "d", start);
+        replica.record_success(milliseconds(10), start);
+        entry.record(replica);
+        CHECK((replica.smoothed_latency() > milliseconds(10)) ==
+              entry.is_slower);
+        CHECK(replica.smoothed_latency() >= milliseconds(10));
+        CHECK(replica.in_flight() == 0);
+    }
+}
+
+// Guards against a new replica that is flooded, and against one slow answer
+// that keeps a replica out for ever.
+TEST_CASE("the score falls with age and without samples")
+{
+    upstream_state replica("a", "d", start);
+    replica.record_success(milliseconds(10), start);
+    const double cold = replica.score(start);
+    replica.record_start();
+    CHECK(replica.score(start) == doctest::Approx(2 * cold));
+    replica.record_success(milliseconds(10), start + seconds(10));
+    const double warm = replica.score(start + seconds(10));
+    CHECK(warm == doctest::Approx(cold / 4));
+    CHECK(replica.score(start + seconds(15)) == doctest::Approx(warm / 2));
+}
+
+// Guards against asking a replica for a version it does not hold.
+TEST_CASE("a replica may hold what it names, and everything before it spoke")
+{
+    upstream_state replica("a", "d", start);
+    CHECK(replica.may_hold({7}));
+    std::vector<index_version> versions{{3}, {7}};
+    replica.set_versions(versions);
+    CHECK(replica.may_hold({3}));
+    CHECK_FALSE(replica.may_hold({4}));
+    replica.set_versions({});
+    CHECK_FALSE(replica.may_hold({3}));
+    for (std::uint64_t version = 10; version < 20; ++version)
+        versions.push_back({version});
+    replica.set_versions(versions);
+    CHECK(replica.may_hold({19}));
+    CHECK_FALSE(replica.may_hold({3}));
+}
--- /dev/null
+++ b/Tests/core/request/merge.cpp
@@ -0,0 +1,23 @@
+#include "core/request/merge.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace wisteriahatch;
+
+// Guards against rows out of order, rows lost because they are equal, and a
+// second reply of a shard that is merged.
+TEST_CASE("rows are sorted and each shard is added once")
+{
+    merge rows;
+    rows.set_shard_count(2);
+    CHECK(rows.add(1, {{"b", "2"}, {"a", "9"}, {"b", "1"}}));
+    CHECK_FALSE(rows.add(1, {{"c", "1"}}));
+    CHECK_FALSE(rows.contains(0));
+    CHECK(rows.add(0, {{"b", "1"}}));
+    CHECK(rows.take() ==
+          std::vector<row>{{"a", "9"}, {"b", "1"}, {"b", "1"}, {"b", "2"}});
+    rows.clear();
+    rows.set_shard_count(1);
+    CHECK_FALSE(rows.contains(0));
+    CHECK(rows.take().empty());
+}
