core: Test membership on a small fleet without loss

Exchanges are answered at once or not at all, so that each test shows one rule: precedence, refutation, replacement on the same address, healing of a partition in which each part took the other as dead, and tombstones that end.

--- /dev/null
+++ b/Tests/core/process/membership.cpp
@@ -0,0 +1,294 @@
+#include "core/process/membership.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point start{1h};
+
+member_record record_of(const std::string& address, std::uint64_t epoch = 100,
+                        member_state state = member_state::alive,
+                        std::uint64_t nonce = 1)
+{
+    return {.address = address,
+            .failure_domain = "z",
+            .nonce = {nonce},
+            .epoch = epoch,
+            .state = state};
+}
+
+// Instances whose exchanges are answered at once, or not at all when the
+// target is in `silent`.
+class small_fleet
+{
+public:
+    explicit small_fleet(unsigned size)
+    {
+        for (unsigned index = 0; index < size; ++index)
+            this->instances.push_back(this->make(index, 100, 1));
+        for (auto& instance : this->instances)
+            this->send(instance, instance.start(start));
+    }
+
+    static std::string address(unsigned index)
+    {
+        return "10.0.0." + std::to_string(index) + ":1";
+    }
+
+    static membership make(unsigned index, std::uint64_t epoch,
+                           std::uint64_t nonce)
+    {
+        return {{.self = record_of(address(index), epoch, member_state::alive,
+                                   nonce),
+                 .seeds = {address(0), address(1)}},
+                index + nonce};
+    }
+
+    // Plays rounds of one second each.
+    void play(int seconds)
+    {
+        for (const auto end = this->now + std::chrono::seconds(seconds);
+             this->now < end; this->now += 100ms)
+        {
+            for (auto& instance : this->instances)
+            {
+                if (!this->is_silent(instance.members().self().address))
+                    this->send(instance, instance.handle_timer(this->now));
+            }
+        }
+    }
+
+    bool is_silent(const std::string& address) const
+    {
+        return std::ranges::find(this->silent, address) != this->silent.end();
+    }
+
+    // State of member `of` as instance `at` sees it; dead when unknown.
+    member_state state(unsigned at, unsigned of) const
+    {
+        const auto* found = this->instances[at].members().find(address(of));
+        return found == nullptr ? member_state::dead : found->state;
+    }
+
+    std::deque<membership> instances;
+    std::vector<std::string> silent;
+    time_point now = start;
+
+private:
+    void send(membership& from, std::vector<membership::exchange> exchanges)
+    {
+        for (unsigned sent = 0; !exchanges.empty() && sent < 8; ++sent)
+        {
+            const auto next = exchanges.back();
+            exchanges.pop_back();
+            const auto target =
+                std::ranges::find(this->instances, next.address,
+                                  [](const membership& instance) {
+                                      return instance.members().self().address;
+                                  });
+            if (target == this->instances.end() ||
+                this->is_silent(next.address))
+            {
+                from.handle_no_answer(next.address, this->now);
+                continue;
+            }
+            const auto reply = target->handle_exchange(next.message, this->now);
+            if (auto more = from.handle_reply(next.address, reply, this->now))
+                exchanges.push_back(std::move(*more));
+        }
+    }
+};
+
+}
+
+// Guards against views that end differently when records arrive in another
+// order.
+TEST_CASE("precedence is by epoch, then state, then nonce")
+{
+    struct row
+    {
+        member_record record;
+        member_record known;
+        bool wins;
+    };
+    using enum member_state;
+    const row rows[] = {
+        {record_of("a", 2, alive), record_of("a", 1, dead), true},
+        {record_of("a", 1, dead), record_of("a", 2, alive), false},
+        {record_of("a", 1, suspect), record_of("a", 1, alive), true},
+        {record_of("a", 1, leaving), record_of("a", 1, suspect), true},
+        {record_of("a", 1, dead), record_of("a", 1, leaving), true},
+        {record_of("a", 1, alive, 2), record_of("a", 1, alive, 1), true},
+        {record_of("a", 1, alive, 1), record_of("a", 1, alive, 1), false},
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.record.epoch);
+        CHECK(takes_precedence(row.record, row.known) == row.wins);
+        member_table table(record_of("self"), {});
+        table.merge(row.known, start);
+        table.merge(row.record, start);
+        // A dead member that was never known is not taken in.
+        const auto& expected = row.wins ? row.record : row.known;
+        const auto* found = table.find("a");
+        CHECK((found != nullptr && *found == expected) ==
+              (expected.state != dead || row.known.state != dead));
+    }
+}
+
+// Guards against an instance that stays suspected, or is confused with its
+// predecessor on the same address.
+TEST_CASE("an instance raises its epoch over every claim about its address")
+{
+    using enum member_state;
+    struct row
+    {
+        member_record claim;
+        std::uint64_t epoch;
+    };
+    const row rows[] = {
+        {record_of("self", 100, suspect), 101},
+        {record_of("self", 100, dead), 101},
+        {record_of("self", 250, alive), 251},
+        {record_of("self", 99, dead), 100},
+        {record_of("self", 100, alive, 2), 101},
+        {record_of("self", 99, alive, 2), 100},
+        {record_of("self", 700, dead, 2), 701},
+        {record_of("self", max_epoch + 1, dead), 100},
+    };
+    for (const auto& row : rows)
+    {
+        CAPTURE(row.claim.epoch);
+        member_table table(record_of("self"), {});
+        table.merge(row.claim, start);
+        CHECK(table.self().epoch == row.epoch);
+        CHECK(table.self().state == alive);
+        CHECK(table.self().nonce.value == 1);
+    }
+}
+
+// Guards against members that never learn of each other or keep different
+// tables.
+TEST_CASE("members find each other through the seeds")
+{
+    small_fleet fleet(9);
+    fleet.play(10);
+    for (const auto& instance : fleet.instances)
+    {
+        CHECK(instance.members().size() == 9);
+        CHECK(instance.members().digest() ==
+              fleet.instances[0].members().digest());
+        CHECK(instance.members().live_addresses().size() == 9);
+    }
+}
+
+// Guards against a lost instance that stays a member, a live one that is
+// removed, and a replacement that is taken for the dead one.
+TEST_CASE("silent members become suspect, dead and are replaced")
+{
+    small_fleet fleet(5);
+    fleet.play(10);
+    fleet.silent = {small_fleet::address(4)};
+    fleet.play(20);
+    for (unsigned at = 0; at < 4; ++at)
+        CHECK(fleet.state(at, 4) == member_state::dead);
+    // The clock of the replacement is behind.
+    fleet.silent.clear();
+    fleet.instances[4] = small_fleet::make(4, 50, 2);
+    fleet.play(20);
+    for (unsigned at = 0; at < 4; ++at)
+    {
+        CHECK(fleet.state(at, 4) == member_state::alive);
+        CHECK(fleet.instances[at]
+                  .members()
+                  .find(small_fleet::address(4))
+                  ->nonce.value == 2);
+    }
+    CHECK(fleet.instances[4].members().size() == 5);
+}
+
+// Guards against parts that stay apart after a partition is healed, in which
+// each part took the other as dead.
+TEST_CASE("parts of a fleet find each other again")
+{
+    small_fleet fleet(4);
+    fleet.play(10);
+    auto other = fleet;
+    fleet.silent = {small_fleet::address(2), small_fleet::address(3)};
+    other.silent = {small_fleet::address(0), small_fleet::address(1)};
+    fleet.play(60);
+    other.play(60);
+    CHECK(fleet.state(0, 3) == member_state::dead);
+    CHECK(other.state(3, 0) == member_state::dead);
+    fleet.silent.clear();
+    fleet.instances[2] = other.instances[2];
+    fleet.instances[3] = other.instances[3];
+    fleet.play(30);
+    for (unsigned at = 0; at < 4; ++at)
+        CHECK(fleet.instances[at].members().live_addresses().size() == 4);
+}
+
+// Guards against a leaving instance that is still given work or seen as
+// failed.
+TEST_CASE("a leaving instance is announced and then forgotten")
+{
+    small_fleet fleet(4);
+    fleet.play(10);
+    fleet.instances[3].set_leaving(fleet.now);
+    fleet.play(3);
+    for (unsigned at = 0; at < 4; ++at)
+    {
+        CHECK(fleet.state(at, 3) == member_state::leaving);
+        CHECK(fleet.instances[at].members().live_addresses().size() == 3);
+    }
+    fleet.silent = {small_fleet::address(3)};
+    fleet.play(20);
+    CHECK(fleet.state(0, 3) == member_state::dead);
+    fleet.play(660);
+    CHECK(fleet.instances[0].members().find(small_fleet::address(3)) ==
+          nullptr);
+}
+
+// Guards against tombstones that members teach each other for ever, and
+// against a table without bound.
+TEST_CASE("the table is bounded")
+{
+    member_table table(record_of("self"), {.max_members = 3});
+    for (const auto* address : {"a", "b", "c", "d"})
+        table.merge(record_of(address), start);
+    CHECK(table.size() == 3);
+    CHECK(table.find("d") == nullptr);
+    member_table fresh(record_of("self"), {});
+    fresh.merge(record_of("a", 1, member_state::dead), start);
+    CHECK(fresh.find("a") == nullptr);
+}
+
+// Guards against news that never ends: a calm exchange carries no records.
+TEST_CASE("calm members exchange only digests")
+{
+    small_fleet fleet(9);
+    fleet.play(60);
+    const auto calm =
+        fleet.instances[0].exchange_with(small_fleet::address(1)).message;
+    CHECK(calm.records.empty());
+    CHECK_FALSE(fleet.instances[1].handle_exchange(calm, fleet.now).buckets);
+}
+
+// Guards against others being taken as dead because this process stood still.
+TEST_CASE("a pause gives suspects their full time again")
+{
+    member_table table(record_of("self"), {});
+    table.merge(record_of("a"), start);
+    table.suspect("a", start);
+    table.restart_suspicions(start + 1min);
+    table.expire(start + 1min + 4999ms);
+    CHECK(table.find("a")->state == member_state::suspect);
+    table.expire(start + 1min + 5s);
+    CHECK(table.find("a")->state == member_state::dead);
+}
