core: Fuzz a fleet of state machines against an oracle

Four instances are joined by a message bag that delays, drops, repeats and reorders; the upstream, the configuration service and the platform's list are models. Cases are lists of plain commands, each valid in every state, instead of rapidcheck's state commands: without preconditions a case shrinks by leaving out elements and needs no second model.

--- /dev/null
+++ b/Tests/core/process/fleet.hpp
@@ -0,0 +1,199 @@
+#ifndef WISTERIAHATCH_TESTS_CORE_PROCESS_FLEET_HPP
+#define WISTERIAHATCH_TESTS_CORE_PROCESS_FLEET_HPP
+
+#include "core/process/document_store.hpp"
+#include "core/process/membership.hpp"
+#include "core/process/pause_detector.hpp"
+#include "core/request/run_registry.hpp"
+
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wisteriahatch::test_support
+{
+
+// What can happen to a fleet.
+enum class command_kind : std::uint8_t
+{
+    submit,
+    resend,
+    kill,
+    replace,
+    pause,
+    wake,
+    split,
+    heal,
+    list_lags,
+    list_current,
+    service_down,
+    service_stale,
+    service_up,
+    publish,
+    publish_two_at_once,
+    publish_old,
+    upstream,
+};
+
+// How the model upstream treats requests.
+enum class upstream_mode : std::uint8_t
+{
+    answers,
+    sheds,
+    sheds_twice,
+    refuses_connections,
+    silent_unstarted,
+    silent_started,
+    answers_late,
+    answers_twice,
+};
+
+// One step of a case; the numbers choose instances, runs and times modulo what
+// there is, so that every step is valid in every state.
+struct command
+{
+    command_kind kind = command_kind::submit;
+    unsigned first = 0;
+    unsigned second = 0;
+    unsigned wait_ms = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const command& step);
+
+// What the oracle knows of one run.
+struct run_truth
+{
+    run_id id;
+    time_point issued;
+    std::chrono::milliseconds deadline{0};
+    unsigned executions = 0;
+    // The final outcome that a caller was told.
+    std::optional<run_outcome> told;
+};
+
+// Several instances joined by a message bag that delays, drops, repeats and
+// reorders, with a model of the upstream, the configuration service and the
+// platform's list. Time moves only by `advance`.
+class fleet
+{
+public:
+    fleet(std::uint64_t seed, control_fault injected);
+
+    void apply(const command& step);
+    void advance(duration time);
+    // Heals the network, wakes every instance, brings the platform's list up
+    // to date, and plays `rounds` rounds of 1 s. Returns the round after which
+    // the documents agreed for good.
+    int settle(int rounds);
+    // The first invariant that was broken; empty if none.
+    const std::string& violation() const;
+    // How often each kind of event was reached.
+    const std::map<std::string, unsigned>& reached() const;
+
+private:
+    static constexpr unsigned slots = 4;
+
+    // One instance. Events reach it only while it is up.
+    struct node
+    {
+        unsigned slot = 0;
+        std::uint64_t nonce = 0;
+        bool is_up = false;
+        bool is_paused = false;
+        std::unique_ptr<run_registry> runs;
+        std::unique_ptr<membership> members;
+        std::unique_ptr<document_store> documents;
+        std::unique_ptr<pause_detector> pauses;
+        bool has_list = false;
+        time_point resumed_at;
+        document_key last_key;
+        std::uint64_t seen_generation = 0;
+        std::uint64_t seen_revision = 0;
+        std::set<std::uint64_t> open_calls;
+        std::map<std::uint64_t, std::function<void(node&, const answer_run&)>>
+            waiters;
+        // Events that arrived during a pause.
+        std::vector<std::function<void(node&)>> backlog;
+    };
+
+    using event = std::function<void(node&)>;
+    using answer = std::function<void(node&, const answer_run&)>;
+
+    // Bounds of the generated times, and chances.
+    unsigned random_below(unsigned bound);
+    bool happens(unsigned percent);
+    duration network_delay();
+
+    // Gives an event to whatever runs in the slot, after a delay; `nonce` 0
+    // for any incarnation.
+    void at(duration delay, unsigned slot, std::uint64_t nonce, event happens);
+    // The same over the network between instances.
+    void send(unsigned from, unsigned to, std::uint64_t nonce, event happens);
+    void deliver(node& target, const event& happens);
+    // Every event of an instance starts with a tick of its detector.
+    void touch(node& target);
+    void tick(node& target);
+    void start(unsigned slot);
+    void wake(node& target);
+    void check(node& target);
+    void break_invariant(const std::string& text);
+
+    static std::string address(unsigned slot);
+    static unsigned slot_of(const std::string& address);
+
+    void gossip(node& from, const membership::exchange& exchange);
+    void learn_key(node& at, const gossip_message& message);
+    void give_list(node& target);
+    void perform(node& from, const std::vector<document_action>& actions);
+    void fetch(node& from, const fetch_document& action);
+    void read(node& from, bool is_watch, int polls);
+    void publish(std::uint64_t number, const std::string& marker);
+    void publish(const std::string& text);
+
+    void issue(const command& step);
+    void arrive(unsigned slot, const std::string& label);
+    void take(node& target, const std::string& label, const answer& reply);
+    void forward(node& from, const std::string& label, const answer& reply);
+    void perform(node& from, const std::vector<run_action>& actions);
+    void try_send(node& from, const dispatch_run& action, time_point queued);
+    void reach_upstream(unsigned slot, std::uint64_t nonce,
+                        const dispatch_run& action);
+    void execute(const std::string& label);
+    void tell(const std::string& label, const answer_run& answer,
+              bool is_from_owner);
+
+    control_fault injected;
+    std::mt19937_64 random;
+    time_point now{std::chrono::hours(1)};
+    std::vector<node> nodes{slots};
+    std::multimap<time_point, std::function<void()>> events;
+    std::uint64_t next_number = 1;
+    // Part of the network that each slot is in.
+    std::vector<unsigned> parts = std::vector<unsigned>(slots, 0);
+    bool is_lossy = true;
+
+    std::vector<std::string> published;
+    std::string service_text;
+    std::string stale_text;
+    std::uint64_t revision = 0;
+    std::uint64_t serial = 0;
+    bool is_service_down = false;
+    bool is_service_stale = false;
+    bool is_list_lagging = false;
+    std::vector<std::string> list;
+
+    upstream_mode mode = upstream_mode::answers;
+    // By label; the label is also the payload.
+    std::map<std::string, run_truth> runs;
+    std::string broken;
+    std::map<std::string, unsigned> counts;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/Tests/core/process/fleet_case.hpp
@@ -0,0 +1,91 @@
+#ifndef WISTERIAHATCH_TESTS_CORE_PROCESS_FLEET_CASE_HPP
+#define WISTERIAHATCH_TESTS_CORE_PROCESS_FLEET_CASE_HPP
+
+#include "core/process/fleet.hpp"
+#include "support/property.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wisteriahatch::test_support
+{
+
+// Rounds of 1 s after healing within which documents and members agree.
+inline constexpr int healing_rounds = 40;
+
+// Generates a command; runs are the most frequent.
+inline rc::Gen<command> any_command()
+{
+    using enum command_kind;
+    const std::vector<command_kind> kinds = {
+        submit,       submit,        submit,      submit,
+        resend,       resend,        resend,      kill,
+        replace,      replace,       pause,       wake,
+        wake,         split,         heal,        list_lags,
+        list_current, upstream,      upstream,    upstream,
+        service_down, service_stale, service_up,  service_up,
+        publish,      publish,       publish_old, publish_two_at_once};
+    return rc::gen::build<command>(
+        rc::gen::set(&command::kind, rc::gen::elementOf(kinds)),
+        rc::gen::set(&command::first, rc::gen::inRange(0U, 64U)),
+        rc::gen::set(&command::second, rc::gen::inRange(0U, 6000U)),
+        rc::gen::set(&command::wait_ms, rc::gen::inRange(0U, 2500U)));
+}
+
+// What cases have shown beyond success.
+struct case_summary
+{
+    // The broken invariant.
+    std::string broken;
+    // Round after which the documents agreed, at most.
+    int agreed = 0;
+    // How often each kind of event was reached.
+    std::map<std::string, unsigned> reached;
+};
+
+// Plays the commands, then healing. Returns the broken invariant, if any.
+inline std::string play(std::uint64_t seed, const std::vector<command>& steps,
+                        control_fault injected, case_summary& summary)
+{
+    fleet played(seed, injected);
+    for (const auto& step : steps)
+    {
+        played.apply(step);
+        if (!played.violation().empty())
+            return played.violation();
+    }
+    summary.agreed = std::max(summary.agreed, played.settle(healing_rounds));
+    for (const auto& [name, count] : played.reached())
+        summary.reached[name] += count;
+    return played.violation();
+}
+
+// Checks the invariants over generated cases. Only the correct program's
+// failures are worth reducing.
+inline support::property_result check_fleet(std::uint64_t seed, int cases,
+                                            control_fault injected,
+                                            case_summary& summary)
+{
+    return support::check_property(
+        [&]
+        {
+            const auto network = *rc::gen::arbitrary<std::uint64_t>();
+            const auto steps =
+                *rc::gen::container<std::vector<command>>(any_command());
+            const auto violation = play(network, steps, injected, summary);
+            if (!violation.empty())
+            {
+                summary.broken = violation;
+                RC_FAIL(violation);
+            }
+        },
+        seed, cases,
+        injected == control_fault::none ? support::shrinking::enabled
+                                        : support::shrinking::disabled);
+}
+
+}
+
+#endif
--- a/Tests/support/property.hpp
+++ b/Tests/support/property.hpp
@@ -1,6 +1,8 @@
 #ifndef WISTERIAHATCH_TESTS_SUPPORT_PROPERTY_HPP
 #define WISTERIAHATCH_TESTS_SUPPORT_PROPERTY_HPP
 
+#include <algorithm>
+#include <cstdint>
 #include <cstdlib>
 #include <rapidcheck.h>
 #include <sstream>
@@ -20,18 +22,28 @@
     std::string text;
 };
 
+// Whether a failing case is reduced to a small one, which takes many runs.
+enum class shrinking : std::uint8_t
+{
+    enabled,
+    disabled,
+};
+
 // Checks a property with the given seed and number of cases, so that a run is
-// repeatable. RC_PARAMS="seed=N" replaces the seed and
-// WISTERIAHATCH_FUZZ_CASES=N the number of cases.
+// repeatable. RC_PARAMS="seed=N" replaces the seed, and
+// WISTERIAHATCH_FUZZ_CASES=N raises the number of cases.
 template <class Testable>
 property_result check_property(Testable&& testable, std::uint64_t seed,
-                               int cases)
+                               int cases,
+                               shrinking reduction = shrinking::enabled)
 {
     auto params = rc::detail::configuration().testParams;
     if (std::getenv("RC_PARAMS") == nullptr)
         params.seed = seed;
     const auto* longer = std::getenv("WISTERIAHATCH_FUZZ_CASES");
-    params.maxSuccess = longer == nullptr ? cases : std::atoi(longer);
+    params.maxSuccess =
+        longer == nullptr ? cases : std::max(cases, std::atoi(longer));
+    params.disableShrinking = reduction == shrinking::disabled;
     const auto result = rc::detail::checkTestable(
         std::forward<Testable>(testable), rc::detail::TestMetadata{}, params);
     property_result summary;
