entry: Admit queries per service and worker

Without admission an overloaded service answers late to everyone. Each worker has its own limit for each service, so that no lock is shared; one limit for the whole process was ruled out because every query would pass one thread. Not measured under overload yet.

--- /dev/null
+++ b/Programs/entry/admission_gate.hpp
@@ -0,0 +1,56 @@
+#ifndef WISTERIAHATCH_ENTRY_ADMISSION_GATE_HPP
+#define WISTERIAHATCH_ENTRY_ADMISSION_GATE_HPP
+
+#include "core/process/admission.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace wisteriahatch
+{
+
+// Lets queries of one service wait for admission on one worker. Only that
+// worker uses it.
+class admission_gate
+{
+public:
+    explicit admission_gate(boost::asio::io_context& worker);
+
+    // An admitted query's place; pass it to leave().
+    struct place
+    {
+        query_id id;
+        bool is_admitted = false;
+    };
+
+    // Waits until the query may start or is refused.
+    boost::asio::awaitable<place> enter(unsigned priority, time_point deadline);
+    // Ends an admitted query; `latency` counts from its admission.
+    void leave(query_id id, admission_outcome outcome, duration latency);
+
+private:
+    struct waiter
+    {
+        boost::asio::steady_timer decided;
+        bool has_decision = false;
+        bool is_admitted = false;
+    };
+
+    void apply(const admission::actions& actions);
+    void decide(query_id id, bool is_admitted);
+    void arm_timer();
+
+    boost::asio::io_context* worker;
+    admission decisions;
+    std::uint64_t next_id = 1;
+    std::map<query_id, std::shared_ptr<waiter>> waiters;
+    boost::asio::steady_timer timer;
+};
+
+}
+
+#endif
--- a/Programs/entry/query_api.cpp
+++ b/Programs/entry/query_api.cpp
@@ -26,6 +26,17 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+// A query that used up its time and still lacks shards met an overload or a
+// fault; a complete one was served whatever its latency.
+admission_outcome outcome_of(time_point deadline, time_point ended,
+                             const query_answer& answer)
+{
+    if (answer.is_complete)
+        return admission_outcome::served;
+    return ended >= deadline ? admission_outcome::overloaded
+                             : admission_outcome::other;
+}
+
 bool is_below_floor(const class_spec& caller_class, const query_answer& answer)
 {
     if (answer.is_complete)
@@ -39,6 +50,16 @@
 
 }
 
+admission_gate& query_api::gate_of(const std::string& service)
+{
+    const auto worker = worker_pool::current();
+    auto& gate = this->gates[worker][service];
+    if (gate == nullptr)
+        gate =
+            std::make_unique<admission_gate>(this->chosen.workers->at(worker));
+    return *gate;
+}
+
 unsigned http_status(error_kind kind)
 {
     struct entry
@@ -75,6 +96,7 @@
 
 query_api::query_api(options values)
     : chosen(std::move(values))
+    , gates(this->chosen.workers->size())
 {
 }
 
@@ -83,8 +105,21 @@
     auto admitted = this->admit(request);
     if (!admitted)
         co_return error_reply(*this->chosen.measures, admitted.error());
+    auto& gate = this->gate_of(admitted.value().request.service);
+    const auto place = co_await gate.enter(
+        admitted.value().caller_class->priority, admitted.value().deadline);
+    if (!place.is_admitted)
+        co_return error_reply(
+            *this->chosen.measures,
+            error{error_kind::overloaded,
+                  "the service has no capacity left for this query before its "
+                  "deadline; it did not run, send it again later"});
+    const auto started = clock_now();
     const auto answer =
         co_await this->run(admitted.value(), request.is_peer_gone);
+    const auto ended = clock_now();
+    gate.leave(place.id, outcome_of(admitted.value().deadline, ended, answer),
+               ended - started);
     co_return this->reply_to(admitted.value(), request.received, answer);
 }
 
--- a/Programs/entry/query_api.hpp
+++ b/Programs/entry/query_api.hpp
@@ -1,6 +1,7 @@
 #ifndef WISTERIAHATCH_ENTRY_QUERY_API_HPP
 #define WISTERIAHATCH_ENTRY_QUERY_API_HPP
 
+#include "admission_gate.hpp"
 #include "core/process/pause_detector.hpp"
 #include "core/request/wire.hpp"
 #include "net/http_server.hpp"
@@ -8,6 +9,8 @@
 #include "telemetry/metrics.hpp"
 #include "worker_context.hpp"
 
+#include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -47,10 +50,17 @@
     result<admitted_query> admit(const http_request& request);
     boost::asio::awaitable<query_answer>
     run(const admitted_query& admitted, std::shared_ptr<bool> is_caller_gone);
+    // Returns the service's gate on the calling worker.
+    admission_gate& gate_of(const std::string& service);
     http_reply reply_to(const admitted_query& admitted, time_point received,
                         const query_answer& answer);
 
+    using service_gates =
+        std::map<std::string, std::unique_ptr<admission_gate>, std::less<>>;
+
     options chosen;
+    // One map a worker; each worker touches only its own.
+    std::vector<service_gates> gates;
 };
 
 // The HTTP status of an error told to a caller.
