--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -74,14 +74,14 @@
 wait "$entry_pid"
 entry_status=$?
 wait "$load_pid"
-cat "$fleet_work/load.json"
+jq -c '.classes[] | {requests, answers, goodput, cut, p99_ms: .answer_ms.p99, errors}' "$fleet_work/load.json"
 echo "entry 3 ended with status $entry_status"
 
 double_runs=$(while IFS='|' read -r _ port; do
     curl -s --max-time 5 "http://127.0.1.1:$port/counters"
 done <"$fleet_work/services" | jq -s '[.[][].runs[]? | select(. > 1)] | length')
-cut_requests=$(tail -1 "$fleet_work/load.json" | jq '[.. | .cut_requests? | numbers] | max // 0')
-load_queries=$(tail -1 "$fleet_work/load.json" | jq '[.. | .queries? | numbers] | max // 0')
+cut_requests=$(tail -1 "$fleet_work/load.json" | jq '[.classes[].cut] | add')
+load_queries=$(tail -1 "$fleet_work/load.json" | jq '[.classes[].requests] | add')
 echo "== stopping"
 fleet_stop
 jq -cn --argjson queries "$((queries + load_queries))" --argjson complete "$complete" \
--- /dev/null
+++ b/Meta/measure.sh
@@ -0,0 +1,118 @@
+#!/usr/bin/env bash
+# Measures the policy under load and faults with entry instances and stand-ins
+# on loopback. Prints one CSV line a run.
+# Usage: measure.sh [--entries N] [--lines "SETTINGS_LINE;..."] [--label TEXT]
+#                   [--rate QUERIES_PER_S] [--seconds S] [--seed N] SCENARIO...
+# Scenarios: calm, straggler, domain_lost, overload, version_change, replace.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+fleet_bin="${fleet_bin:-$PWD/Build/bin}"
+. Meta/fleet.sh
+trap fleet_stop EXIT
+
+entries=8
+rate=200
+seconds=20
+seed=1
+label=default
+fleet_entry_lines=()
+while [ "${1#--}" != "$1" ]; do
+    case "$1" in
+    --entries) entries="$2" ;;
+    --rate) rate="$2" ;;
+    --seconds) seconds="$2" ;;
+    --seed) seed="$2" ;;
+    --label) label="$2" ;;
+    --lines) IFS=';' read -r -a fleet_entry_lines <<<"$2" ;;
+    *) echo "unknown option $1; see the head of this script" >&2 && exit 2 ;;
+    esac
+    shift 2
+done
+
+# 20 ms mean service time and 30 servers of 3 slots: each group of 3 servers
+# works on 9 sub-requests at once, so the service can answer 450 queries/s.
+service=counter-quote
+class=counter
+fleet_upstream_flags=(--latency_ms=20 --latency_model=exponential --workers=2)
+
+# Replica names, as a JSON array, whose field FIELD of fleet_replicas matches
+# an awk condition over its fields.
+replicas_where() {
+    awk -F'|' -v s="$service" "\$1 == s && ($1) { print \$4 }" "$fleet_work/replicas" |
+        jq -R -s -c 'split("\n") | map(select(. != ""))'
+}
+
+# Usage: run_load QUERIES_PER_S SECONDS
+run_load() {
+    local callers admins counters
+    callers=$(seq -f '127.0.2.%.0f:8080' "$entries" | paste -sd, -)
+    admins=$(seq -f '127.0.2.%.0f:8081' "$entries" | paste -sd, -)
+    counters=$(awk -F'|' -v s="$service" '$1 == s { print $6 }' "$fleet_work/replicas" | paste -sd, -)
+    "$fleet_bin/wisteriahatch-load" --entries="$callers" --admin_ports="$admins" \
+        --service="$service" --rate="$class:$1:800" --duration_s="$2" --warmup_s=4 \
+        --seed="$seed" --connections=512 --upstream_counters="$counters" --output=json |
+        tail -1
+}
+
+# Prints the CSV line of a load report. Usage: print_line SCENARIO RATE REPORT
+print_line() {
+    jq -r --arg label_text "$label" --arg scenario "$1" --arg rate "$2" --arg entries "$entries" '
+        .classes as $classes | .upstreams as $up |
+        $classes | to_entries[] | .value as $c |
+        [$label_text, $scenario, .key, $entries, $rate, $c.requests,
+         ($c.answer_ms.p50 | . * 10 | round / 10),
+         ($c.answer_ms.p99 | . * 10 | round / 10),
+         ($c.answer_ms.p99_9 | . * 10 | round / 10),
+         ($c.goodput_ratio * 1000 | round / 1000),
+         ($c.complete_ratio * 1000 | round / 1000),
+         ($up.load_ratio * 1000 | round / 1000), $c.cut,
+         ($c.errors | tojson)] | @csv' <<<"$3"
+}
+
+scenario_calm() {
+    run_load "$rate" "$seconds"
+}
+
+# The first replica of each group is ten times slower.
+scenario_straggler() {
+    fleet_control "$service" "$(replicas_where '$4 ~ /-a$/')" '{"straggler_factor":10}'
+    run_load "$rate" "$seconds"
+}
+
+# Every server of one failure domain refuses all work from the start.
+scenario_domain_lost() {
+    local domain
+    domain=$(head -1 "$fleet_work/replicas" | cut -d'|' -f5)
+    fleet_control "$service" "$(replicas_where "\$5 == \"$domain\"")" '{"fail_fast":true}'
+    run_load "$rate" "$seconds"
+}
+
+# 1.5 times what the service can answer.
+scenario_overload() {
+    run_load 675 "$seconds"
+}
+
+# Half of the replicas move to the next index version during the run, then the
+# others.
+scenario_version_change() {
+    fleet_control "$service" "$(replicas_where 1)" "{\"versions\":{\"$service\":[1]}}"
+    (
+        sleep 8
+        fleet_control "$service" "$(replicas_where 1)" "{\"versions\":{\"$service\":[1,2]}}"
+        sleep 4
+        fleet_control "$service" "$(replicas_where 1)" "{\"versions\":{\"$service\":[2]}}"
+    ) &
+    local changer=$!
+    run_load "$rate" "$seconds"
+    wait "$changer"
+}
+
+echo "label,scenario,class,entries,rate_s,requests,p50_ms,p99_ms,p99.9_ms,goodput_ratio,complete_ratio,load_ratio,cut,errors"
+for scenario in "$@"; do
+    fleet_start "${fleet_source:-Examples/blue_mahoe.ini}" "$entries" || exit 1
+    report=$("scenario_$scenario")
+    offered="$rate"
+    [ "$scenario" = overload ] && offered=675
+    print_line "$scenario" "$offered" "$report"
+    fleet_stop
+done
