StandIns: Add the upstream, platform and silencer stand-ins

Tests need upstreams, a platform and connections that go silent, on one machine. One stand-in-upstream process serves many upstreams, each with its own slots, connection limit and counters, because 100 processes would exceed the machine. An upstream stays on one thread, so that its state needs no locks.

The HTTP server gains max_connections and connection counts. A connection beyond the limit waits 20 ms for a place: a peer that replaces a connection may be accepted before the close of its old one was read. Targets are parsed by Boost.URL.

--- a/Libraries/net/beast.hpp
+++ b/Libraries/net/beast.hpp
@@ -1,10 +1,10 @@
 #ifndef WISTERIAHATCH_NET_BEAST_HPP
 #define WISTERIAHATCH_NET_BEAST_HPP
 
+#include "net/store_error.hpp"
+
 // Boost.Beast for the .cpp files of this folder. Public headers do not include
 // it, because it adds seconds to the compile time of every file.
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -18,12 +18,6 @@
 using boost::system::error_code;
 using tcp = boost::asio::ip::tcp;
 
-// Completion token that stores the error in `failure` instead of throwing.
-inline auto store_error(error_code& failure)
-{
-    return asio::redirect_error(asio::use_awaitable, failure);
-}
-
 // True for errors of Beast's HTTP parser, as opposed to those of the socket.
 inline bool is_http_error(const error_code& failure)
 {
--- /dev/null
+++ b/Libraries/net/boost_url.cpp
@@ -0,0 +1,1 @@
+#include <boost/url/src.hpp>
--- a/Libraries/net/http_server.cpp
+++ b/Libraries/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "net/beast.hpp"
 #include "net/http_session.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -20,6 +21,10 @@
 // Time before accepting again after a failure such as too many open files.
 constexpr std::chrono::milliseconds accept_retry_delay{10};
 constexpr int listen_backlog = 4096;
+// Time that a connection beyond the limit waits for a place. A peer that
+// replaces a connection may be accepted before the close of its old connection
+// has been read.
+constexpr std::chrono::milliseconds place_wait{20};
 
 }
 
@@ -137,12 +142,43 @@
         return worker;
     }
 
-    // Starts a session on the worker that the socket belongs to.
+    // Serves the connection on the worker that its socket belongs to. Runs on
+    // the first worker.
     void serve(tcp::socket socket, std::size_t worker)
     {
-        const auto& values = this->context->values;
-        if (values.on_accept && !values.on_accept())
-            return;
+        if (this->has_place())
+            this->start_session(std::move(socket), worker);
+        else
+            asio::co_spawn(
+                this->workers.at(0),
+                serve_late(this->shared_from_this(), std::move(socket), worker),
+                asio::detached);
+    }
+
+    static asio::awaitable<void>
+    serve_late(std::shared_ptr<implementation> self, tcp::socket socket,
+               std::size_t worker)
+    {
+        asio::steady_timer wait(self->workers.at(0), place_wait);
+        error_code ignored;
+        co_await wait.async_wait(store_error(ignored));
+        if (self->has_place())
+            self->start_session(std::move(socket), worker);
+        else
+            ++self->context->refused_connections;
+    }
+
+    bool has_place() const
+    {
+        const auto limit = this->context->values.max_connections;
+        return limit == 0 || this->context->open_connections < limit;
+    }
+
+    void start_session(tcp::socket socket, std::size_t worker)
+    {
+        const std::size_t open = ++this->context->open_connections;
+        this->context->most_open_connections =
+            std::max(open, this->context->most_open_connections.load());
         auto session =
             std::make_shared<http_session>(std::move(socket), this->context);
         asio::post(this->workers.at(worker),
@@ -161,8 +197,7 @@
     {
         co_await session->serve();
         self->sessions[worker].erase(session.get());
-        if (self->context->values.on_close)
-            self->context->values.on_close();
+        --self->context->open_connections;
     }
 
     void close_idle_sessions()
@@ -221,4 +256,12 @@
     return this->state->context->running_requests;
 }
 
+http_connection_counts http_server::connections() const
+{
+    const auto& context = *this->state->context;
+    return {.open = context.open_connections,
+            .most_open = context.most_open_connections,
+            .refused = context.refused_connections};
+}
+
 }
--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,6 +42,18 @@
     std::string body;
     std::string content_type = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
+    // Length to announce instead of the body's; the connection closes after
+    // the body. Lets stand-ins send truncated replies.
+    std::optional<std::size_t> announced_length;
+};
+
+// Connections of a server so far.
+struct http_connection_counts
+{
+    std::size_t open = 0;
+    std::size_t most_open = 0;
+    // Closed because of max_connections.
+    std::size_t refused = 0;
 };
 
 using http_handler =
@@ -63,12 +76,9 @@
         // Longest wait for a request, and for the peer to send or take the
         // next bytes of a message.
         std::chrono::seconds idle_timeout{60};
-        // Called on the accepting worker for each new connection, which is
-        // closed at once when it returns false. May be empty.
-        std::function<bool()> on_accept;
-        // Called on the connection's worker when an accepted connection was
-        // closed. May be empty.
-        std::function<void()> on_close;
+        // Connections beyond this number are closed without a reply; 0 means
+        // no limit.
+        std::size_t max_connections = 0;
     };
 
     http_server(worker_pool& workers, options values, http_handler handler);
@@ -85,6 +95,7 @@
     void stop_accepting();
     // Requests whose headers were read and whose reply is not yet written.
     std::size_t running_requests() const;
+    http_connection_counts connections() const;
 
 private:
     class implementation;
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -156,8 +156,8 @@
 asio::awaitable<bool> http_session::write_reply(http_reply reply,
                                                 bool keep_open)
 {
-    keep_open =
-        keep_open && !this->context->is_draining && !this->context->is_stopped;
+    keep_open = keep_open && !reply.announced_length &&
+                !this->context->is_draining && !this->context->is_stopped;
     http::response<http::string_body> message;
     message.version(11);
     message.result(reply.status);
@@ -169,6 +169,8 @@
         message.set(http::field::connection, "close");
     message.body() = std::move(reply.body);
     message.prepare_payload();
+    if (reply.announced_length)
+        message.content_length(*reply.announced_length);
     error_code failure;
     this->stream.expires_after(this->context->values.idle_timeout);
     co_await http::async_write(this->stream, message, store_error(failure));
--- /dev/null
+++ b/StandIns/upstream/rows.hpp
@@ -0,0 +1,22 @@
+#ifndef WISTERIAHATCH_STANDINS_UPSTREAM_ROWS_HPP
+#define WISTERIAHATCH_STANDINS_UPSTREAM_ROWS_HPP
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// Returns the rows (key, value) that every replica of a shard answers to a
+// query, so that a naive client can compute the complete answer. There are 2
+// to 5 rows. A key starts with hash digits, so that the rows of several shards
+// interleave when sorted; the value names the shard and the version.
+std::vector<std::pair<std::string, std::string>>
+make_rows(const std::string& service, const std::string& shard,
+          std::uint64_t version, const std::string& query);
+
+}
+
+#endif
