--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -69,9 +69,8 @@
     --duration_s=12 --warmup_s=0 --output=json >"$fleet_work/load.json" &
 load_pid=$!
 sleep 2
-entry_pid="${fleet_pids[-1]}"
-kill -TERM "$entry_pid"
-wait "$entry_pid"
+fleet_signal entry-3 TERM
+fleet_join entry-3
 entry_status=$?
 wait "$load_pid"
 jq -c '.classes[] | {requests, answers, goodput, cut, p99_ms: .answer_ms.p99, errors}' "$fleet_work/load.json"
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -6,7 +6,7 @@
 # service's upstreams 127.0.1.1 from port 19000, platform 127.0.3.1:9000,
 # entry instance N 127.0.2.N ports 8080 (callers), 8081 (admin), 8082 (peers).
 
-fleet_pids=()
+declare -A fleet_pids=()
 fleet_work=""
 platform=127.0.3.1:9000
 
@@ -32,14 +32,25 @@
         }' "$1"
 }
 
-# Starts a program in the background with its output in a log file.
-# Usage: fleet_spawn LOG PROGRAM ARGUMENT...
+# Starts a program in the background with its output in NAME.log.
+# Usage: fleet_spawn NAME PROGRAM ARGUMENT...
 fleet_spawn() {
-    local log="$fleet_work/$1.log"
+    local name="$1"
     shift
-    "$@" >"$log" 2>&1 &
-    fleet_pids+=("$!")
-    fleet_last_pid=$!
+    "$@" >>"$fleet_work/$name.log" 2>&1 &
+    fleet_pids[$name]=$!
+}
+
+# Sends a signal to a process by its name. Usage: fleet_signal NAME SIGNAL
+fleet_signal() {
+    kill "-$2" "${fleet_pids[$1]}"
+}
+
+# Waits for the end of a process and returns its exit status.
+fleet_join() {
+    local pid="${fleet_pids[$1]}"
+    unset "fleet_pids[$1]"
+    wait "$pid"
 }
 
 # Ends the processes that fleet_spawn started and that still run.
@@ -70,9 +81,10 @@
 fleet_upstreams() {
     local name="$1" service="$2" pattern="$3" admin="$4" list slots limit
     shift 4
-    list=$(awk -F'|' -v s="$service" -v p="$pattern" \
-        '$1 == s && $4 ~ p { print $4 "@" $6 }' "$fleet_work/replicas" |
-        paste -sd, -)
+    list=$(awk -F'|' -v s="$service" -v p="$pattern" -v without="${fleet_split:-}" \
+        '$1 == s && $4 ~ p && (without == "" || p == without || $4 !~ without) {
+            print $4 "@" $6 }' "$fleet_work/replicas" | paste -sd, -)
+    [ -n "$list" ] || return 0
     slots=$(awk -F'|' -v s="$service" '$1 == s { print $2; exit }' "$fleet_work/replicas")
     limit=$(awk -F'|' -v s="$service" '$1 == s { print $3; exit }' "$fleet_work/replicas")
     fleet_spawn "$name" "$fleet_bin/stand-in-upstream" --upstreams="$list" \
@@ -85,7 +97,9 @@
     local domains
     domains=$(cut -d'|' -f5 "$fleet_work/replicas" | sort -u | paste -sd' ' -)
     {
-        awk -F'|' '{ print $4 "\tupstream\t" $6 "\t\t" $5 }' "$fleet_work/replicas"
+        awk -F'|' -v silenced="${fleet_silenced:-}" '{
+            if (silenced != "") sub(/127.0.1.1/, "127.0.4.1", $6)
+            print $4 "\tupstream\t" $6 "\t\t" $5 }' "$fleet_work/replicas"
         local i=0
         for i in $(seq "$1"); do
             printf 'entry-%s\tentry\t127.0.2.%s:8080\t127.0.2.%s:8082\t%s\n' "$i" \
@@ -137,10 +151,16 @@
     fleet_spawn platform "$fleet_bin/stand-in-platform" --listen="$platform" \
         --document="$fleet_document" --instances="$fleet_work/instances.json"
     while read -r service; do
+        # Replicas that match $fleet_split run as a process of their own.
+        if [ -n "${fleet_split:-}" ]; then
+            fleet_upstreams "split-$service" "$service" "$fleet_split" \
+                "$((port + 100))" "${fleet_upstream_flags[@]}"
+        fi
         fleet_upstreams "upstreams-$port" "$service" . "$port" "${fleet_upstream_flags[@]}"
         echo "$service|$port" >>"$fleet_work/services"
         port=$((port + 1))
     done < <(cut -d'|' -f1 "$fleet_work/replicas" | uniq)
+    [ -z "${fleet_silenced:-}" ] || fleet_silencer
     for i in $(seq "$entries"); do
         fleet_entry "$i" "$entries" "${fleet_entry_lines[@]}"
     done
@@ -149,6 +169,16 @@
     done
 }
 
+# Puts a pass-through proxy before each upstream: entries reach the upstream
+# at 127.0.1.1 through the same port of 127.0.4.1.
+fleet_silencer() {
+    local routes
+    routes=$(cut -d'|' -f6 "$fleet_work/replicas" |
+        awk -F: '{ print "127.0.4.1:" $2 "=" $0 }' | paste -sd, -)
+    fleet_spawn silencer "$fleet_bin/stand-in-silencer" --routes="$routes" \
+        --admin=127.0.4.1:9790
+}
+
 # Prints the address for counters and control of a service's upstreams.
 fleet_admin() {
     awk -F'|' -v s="$1" '$1 == s { print "127.0.1.1:" $2 }' "$fleet_work/services"
