ctl: Add status, which asks instances whether they agree

After a promotion operators need to know that every instance has the document in force. status asks each admin port for /status, prints a line for each and returns 1 if one is down, not ready or has another document. Instances that have no status yet leave out the document, which counts as none and not as a malformed reply.

--- a/Programs/ctl/commands/command.cpp
+++ b/Programs/ctl/commands/command.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <ostream>
 #include <utility>
 
@@ -44,6 +45,14 @@
         .most_arguments = 3,
         .run = run_explain,
     },
+    command{
+        .name = "status",
+        .arguments = "ADMIN_ADDRESS...",
+        .purpose = "print whether instances are ready and agree",
+        .least_arguments = 1,
+        .most_arguments = std::numeric_limits<std::size_t>::max(),
+        .run = run_status,
+    },
 };
 
 }
--- a/Programs/ctl/commands/status_report.cpp
+++ b/Programs/ctl/commands/status_report.cpp
@@ -51,6 +51,16 @@
     return !fault && !member->is_double();
 }
 
+// An instance that has no status yet leaves out both members.
+bool read_document_key(const json::object& object, instance_status& status)
+{
+    if (!object.contains("document_serial") &&
+        !object.contains("document_digest"))
+        return true;
+    return read_number(object, "document_serial", status.document_serial) &&
+           read_text(object, "document_digest", status.document_digest);
+}
+
 void print_status(const instance_status& status, std::ostream& output)
 {
     output << status.asked << ' ';
@@ -80,11 +90,9 @@
         status.fault = "the reply is no JSON object; ask an admin address";
     else if (!read_text(*object, "address", status.address) ||
              !read_flag(*object, "ready", status.is_ready) ||
-             !read_number(*object, "document_serial", status.document_serial) ||
-             !read_text(*object, "document_digest", status.document_digest))
-        status.fault = "the reply lacks address, ready, document_serial or "
-                       "document_digest; ask an admin address of an entry "
-                       "instance";
+             !read_document_key(*object, status))
+        status.fault = "the reply lacks address or ready, or its document is "
+                       "malformed; ask an admin address of an entry instance";
     return status;
 }
 
@@ -105,7 +113,9 @@
     }
     output << answered << " of " << statuses.size() << " instances answered, "
            << ready << " ready, " << documents.size()
-           << (documents.size() == 1 ? " document" : " different documents")
+           << (documents.size() > 1    ? " different documents"
+               : documents.size() == 1 ? " document"
+                                       : " documents")
            << " in force\n";
     const bool is_agreed =
         documents.size() == 1 && !documents.begin()->first.second.empty();
--- a/Tests/ctl/commands/status_report.cpp
+++ b/Tests/ctl/commands/status_report.cpp
@@ -24,7 +24,11 @@
 TEST_CASE("replies that are no status are faults")
 {
     CHECK(read_status("a", body(true, 3, "ff")).fault.empty());
+    const auto early = read_status("a", R"({"address":"a","ready":false})");
+    CHECK(early.fault.empty());
+    CHECK(early.document_digest.empty());
     const std::string table[] = {
+        R"({"address":"a","ready":true,"document_serial":1})",
         "",
         "[]",
         "{}",
