Core: Refuse form feeds and vertical tabs at the ends of lines

The check for control characters saw lines after trimming, so these bytes were accepted at line ends. In JSON a vertical tab takes 6 bytes, and a delta of such a document could exceed the size that the decoder reads. Lines are now checked before trimming, without the CR of a CR LF.

--- a/Libraries/core/version/document_lines.cpp
+++ b/Libraries/core/version/document_lines.cpp
@@ -47,8 +47,11 @@
         {
             const auto end = text.find('\n');
             ++this->number;
-            const auto line = trim(text.substr(0, end));
-            if (this->is_kept(line))
+            auto raw = text.substr(0, end);
+            if (raw.ends_with('\r'))
+                raw.remove_suffix(1);
+            const auto line = trim(raw);
+            if (this->is_text(raw) && this->is_kept(line))
                 this->output.well_formed += line;
             this->output.well_formed += '\n';
             text.remove_prefix(end == text.npos ? text.size() : end + 1);
@@ -57,18 +60,22 @@
     }
 
 private:
-    bool is_kept(std::string_view line)
+    // The text travels between instances as a JSON string, comments included.
+    bool is_text(std::string_view raw)
     {
-        // The text travels between instances as a JSON string, comments
-        // included.
-        if (std::ranges::any_of(line, is_control))
-            return this->refuse({}, line,
+        if (std::ranges::any_of(raw, is_control))
+            return this->refuse({}, raw,
                                 "the line holds a control character; write "
                                 "it as plain text");
-        if (!is_utf8(line))
-            return this->refuse({}, line,
+        if (!is_utf8(raw))
+            return this->refuse({}, raw,
                                 "the line is not valid UTF-8; save the file "
                                 "as UTF-8");
+        return true;
+    }
+
+    bool is_kept(std::string_view line)
+    {
         if (line.empty() || line.front() == ';' || line.front() == '#')
             return false;
         return line.front() == '[' ? this->is_header_kept(line)
--- a/Tests/core/version/document_check.cpp
+++ b/Tests/core/version/document_check.cpp
@@ -94,6 +94,7 @@
         {"serial = 7", "serial = 7\n= 8", "document", "", 4, "8"},
         {"serial = 7", "serial = 7\nword", "document", "", 4, "word"},
         {"serial = 7", "serial = 7\n; \xff", "document", "", 4, "; \xff"},
+        {"serial = 7", "serial = 7\n;\f\v", "document", "", 4, ";\f\v"},
         {"serial = 7", "serial = 7\n; \x01", "document", "", 4, "; \x01"},
         {"failure_domains = a, b", "failure_domains = a, b, a", "fleet",
          "failure_domains", 5, "a"},
