Tests: Tell apart the reasons for which a delta is refused

With the check of a range's end removed, the test still passed: the read beyond the base gave a text of the wrong digest or size, which is refused with the same kind. Each row now also names the message, and two chunks from the last one on are a row.

--- a/Tests/core/version/document_delta.cpp
+++ b/Tests/core/version/document_delta.cpp
@@ -128,32 +128,53 @@
 {
     const std::string base = "[a]\n[b]\n";
     const auto good = compute_delta(base, "[b]\n[c]\n");
-    struct
+    const auto changed = [&good](auto change)
+    {
+        auto delta = good;
+        change(delta);
+        return delta;
+    };
+    const auto with_range = [&changed](std::size_t first, std::size_t count)
+    {
+        return changed(
+            [&](document_delta& delta)
+            { delta.parts[0] = chunk_range{.first = first, .count = count}; });
+    };
+    const std::string outside = "chunks that the base does not have";
+    const struct
     {
         document_delta delta;
         error_kind kind;
+        std::string message;
     } table[] = {
-        {good, error_kind::stale_document},
-        {good, error_kind::invalid_document},
-        {good, error_kind::invalid_document},
-        {good, error_kind::invalid_document},
-        {good, error_kind::invalid_document},
-        {good, error_kind::invalid_document},
-        {good, error_kind::invalid_document},
+        {changed([](document_delta& delta)
+                 { delta.base_digest = std::string(64, '0'); }),
+         error_kind::stale_document, "not the base at hand"},
+        {changed([](document_delta& delta)
+                 { delta.target_digest = std::string(64, '0'); }),
+         error_kind::invalid_document, "another digest"},
+        {changed([](document_delta& delta)
+                 { delta.parts.emplace_back(std::string("x")); }),
+         error_kind::invalid_document, "another digest"},
+        {with_range(2, 1), error_kind::invalid_document, outside},
+        {with_range(1, 2), error_kind::invalid_document, outside},
+        {with_range(1, ~std::size_t{0}), error_kind::invalid_document, outside},
+        {with_range(0, 0), error_kind::invalid_document, outside},
+        {changed(
+             [](document_delta& delta)
+             {
+                 delta.parts.assign(max_document_bytes,
+                                    chunk_range{.first = 0, .count = 2});
+             }),
+         error_kind::invalid_document, "larger than any accepted"},
     };
-    table[0].delta.base_digest = std::string(64, '0');
-    table[1].delta.target_digest = std::string(64, '0');
-    table[2].delta.parts[0] = chunk_range{.first = 2, .count = 1};
-    table[3].delta.parts[0] = chunk_range{.first = 1, .count = ~std::size_t{0}};
-    table[4].delta.parts[0] = chunk_range{.first = 0, .count = 0};
-    table[5].delta.parts.emplace_back(std::string("x"));
-    table[6].delta.parts.assign(max_document_bytes,
-                                chunk_range{.first = 0, .count = 2});
     for (const auto& row : table)
     {
         const auto applied = apply_delta(base, row.delta);
         REQUIRE(!applied);
         CHECK(applied.error().kind == row.kind);
+        CAPTURE(applied.error().message);
+        CHECK(applied.error().message.find(row.message) != std::string::npos);
     }
     CHECK(apply_delta(base, good));
 }
