ctl: Count only documents in force in the summary of status

Against a running instance without a document, the summary said "1 document in force", because the absent document was counted as one. The exit status was right already.

--- a/Programs/ctl/commands/status_report.cpp
+++ b/Programs/ctl/commands/status_report.cpp
@@ -109,7 +109,8 @@
             continue;
         ++answered;
         ready += status.is_ready ? 1 : 0;
-        ++documents[{status.document_serial, status.document_digest}];
+        if (!status.document_digest.empty())
+            ++documents[{status.document_serial, status.document_digest}];
     }
     output << answered << " of " << statuses.size() << " instances answered, "
            << ready << " ready, " << documents.size()
@@ -118,7 +119,7 @@
                                        : " documents")
            << " in force\n";
     const bool is_agreed =
-        documents.size() == 1 && !documents.begin()->first.second.empty();
+        documents.size() == 1 && documents.begin()->second == statuses.size();
     return is_agreed && ready == statuses.size() ? exit_code::fine
                                                  : exit_code::refused;
 }
--- a/Tests/ctl/commands/status_report.cpp
+++ b/Tests/ctl/commands/status_report.cpp
@@ -70,7 +70,8 @@
         {{good, same_serial}, exit_code::refused, "2 different documents"},
         {{good, starting}, exit_code::refused, "1 ready, 1 document"},
         {{good, down}, exit_code::refused, "1 of 2 instances answered"},
-        {{empty}, exit_code::refused, "1 of 1 instances answered"},
+        {{empty}, exit_code::refused, "1 ready, 0 documents in force"},
+        {{good, empty}, exit_code::refused, "2 ready, 1 document in force"},
         {{}, exit_code::refused, "0 of 0 instances answered"},
     };
     for (const auto& row : table)
