--- a/Programs/entry/control_loop.cpp
+++ b/Programs/entry/control_loop.cpp
@@ -144,8 +144,8 @@
     const auto now = clock_now();
     const auto& platform = this->chosen.values->platform_address;
     this->publish_status();
-    for (auto& each : this->members.start(now))
-        this->exchange(std::move(each));
+    for (const auto& each : this->members.start(now))
+        this->exchange(each);
     this->apply(this->documents.start(this->known_peers(), now));
     for (const auto& peer : this->known_peers())
         this->fetch_directory(peer);
@@ -186,7 +186,7 @@
     return reply;
 }
 
-void control_loop::apply(std::vector<document_action> actions)
+void control_loop::apply(const std::vector<document_action>& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& each) { this->act(each); }, action);
@@ -215,10 +215,10 @@
                 this->apply(this->documents.handle_fetch_failure(peer, now));
                 return;
             }
-            auto arrival =
+            const auto arrival =
                 this->documents.handle_transfer(peer, transfer.value(), now);
             this->report(arrival, peer);
-            this->apply(std::move(arrival.actions));
+            this->apply(arrival.actions);
         });
 }
 
@@ -265,7 +265,7 @@
                   {{"problem", to_string(problem)}});
 }
 
-void control_loop::exchange(membership::exchange next)
+void control_loop::exchange(const membership::exchange& next)
 {
     this->peers.call(
         next.address, "gossip.exchange", encode_gossip(next.message),
@@ -288,13 +288,14 @@
         this->members.handle_no_answer(address, now);
         return;
     }
-    auto follow_up = this->members.handle_reply(address, reply.value(), now);
+    const auto follow_up =
+        this->members.handle_reply(address, reply.value(), now);
     this->apply(this->documents.handle_peer_key(
         address, reply.value().sender.document, now));
     if (this->instances == nullptr)
         this->fetch_directory(address);
     if (follow_up)
-        this->exchange(std::move(*follow_up));
+        this->exchange(*follow_up);
 }
 
 void control_loop::fetch_directory(const std::string& peer)
@@ -392,9 +393,9 @@
     if (revision != reply.value().headers.end() &&
         boost::conversion::try_lexical_convert(revision->second, number))
         this->document_revision = number;
-    auto arrival = this->documents.handle_text(reply.value().body, now);
+    const auto arrival = this->documents.handle_text(reply.value().body, now);
     this->report(arrival, "service");
-    this->apply(std::move(arrival.actions));
+    this->apply(arrival.actions);
 }
 
 asio::awaitable<void> control_loop::watch_directory()
@@ -436,8 +437,8 @@
             this->members.handle_pause(now);
             this->apply(this->documents.handle_pause(this->known_peers(), now));
         }
-        for (auto& each : this->members.handle_timer(now))
-            this->exchange(std::move(each));
+        for (const auto& each : this->members.handle_timer(now))
+            this->exchange(each);
         this->update_members();
         this->apply(this->documents.handle_timer(now));
         const bool may_serve = this->documents.is_ready(now) && !this->leaving;
--- a/Programs/entry/control_loop.hpp
+++ b/Programs/entry/control_loop.hpp
@@ -72,13 +72,13 @@
 private:
     void add_peer_methods();
     std::string answer_gossip(const std::string& parameters);
-    void apply(std::vector<document_action> actions);
+    void apply(const std::vector<document_action>& actions);
     void act(const ask_peer& action);
     void act(const fetch_document& action);
     void act(const read_service& action);
     void act(const put_in_force& action);
     void report(const document_arrival& arrival, const std::string& source);
-    void exchange(membership::exchange next);
+    void exchange(const membership::exchange& next);
     void handle_gossip_answer(const std::string& address,
                               const result<std::string>& answer);
     void fetch_directory(const std::string& peer);
--- a/Programs/entry/peer_client.cpp
+++ b/Programs/entry/peer_client.cpp
@@ -15,6 +15,9 @@
 
 namespace asio = boost::asio;
 
+// A directory of the largest fleet planned takes up to 8 MB.
+constexpr std::size_t max_reply_bytes = 10UL * 1024 * 1024;
+
 result<std::string> call_blocking(const peer_client::options& chosen,
                                   const std::string& address,
                                   const std::string& method,
@@ -28,8 +31,7 @@
         post.target = "/rpc/control";
         post.body = message;
         post.timeout = chosen.timeout;
-        // A directory of the largest fleet planned takes 8 MB.
-        post.max_reply_bytes = 10 * 1024 * 1024;
+        post.max_reply_bytes = max_reply_bytes;
         auto reply = fetch_blocking(server, post);
         if (!reply)
             throw std::runtime_error(reply.error().message);
--- a/Programs/entry/run_service.hpp
+++ b/Programs/entry/run_service.hpp
@@ -73,7 +73,7 @@
     boost::asio::awaitable<run_answer> submit(run_submission submission);
     boost::asio::awaitable<run_answer> forward(run_request request, run_id id,
                                                time_point deadline);
-    void apply(std::vector<run_action> actions);
+    void apply(const std::vector<run_action>& actions);
     void act(const dispatch_run& action);
     void act(const answer_run& action);
     upstream_state* choose_replica(const dispatch_run& action);
