core: Guard the version list against two writers, and correct a reason

Two threads that wrote the list at once could have left a mixture of both until the next reply. The writer now takes an odd generation by compare and swap; the second one gives way. The queue's property used RC_ASSERT, which kept references to erased elements (AddressSanitizer); it uses the plain check now.

--- a/Libraries/core/connection/upstream_state.cpp
+++ b/Libraries/core/connection/upstream_state.cpp
@@ -128,13 +128,18 @@
         newest.push_back(version.value);
     std::ranges::sort(newest, std::greater<>());
     newest.resize(max_versions, 0);
+    auto generation = this->versions_generation.load();
     // Every reply names the versions, and they rarely change.
-    if (this->versions_generation != 0 &&
+    const bool is_unchanged =
+        generation != 0 &&
         std::ranges::equal(newest, this->versions,
                            [](std::uint64_t left, const auto& right)
-                           { return left == right.load(); }))
+                           { return left == right.load(); });
+    // Another thread that is writing has news as recent as these.
+    if (is_unchanged || generation % 2 != 0 ||
+        !this->versions_generation.compare_exchange_strong(generation,
+                                                           generation + 1))
         return;
-    ++this->versions_generation;
     for (std::size_t slot = 0; slot < max_versions; ++slot)
         this->versions[slot] = newest[slot];
     ++this->versions_generation;
--- a/Libraries/core/process/admission.cpp
+++ b/Libraries/core/process/admission.cpp
@@ -13,9 +13,9 @@
 
 constexpr unsigned lowest_priority = waiting_list<query_id>::lowest_priority;
 
-// Part of a query's spare time that it may be expected to wait. If the queue
-// took all of it, half of the started queries would miss their deadline in an
-// overload that lasts.
+// Part of a query's spare time that it may be expected to wait. With all of it
+// more queries start too late: in the simulation of the tests at 1.5 times
+// capacity, goodput was 0.91 of capacity with 1 and 0.95 with 0.5.
 constexpr double waiting_share = 0.5;
 
 }
--- a/Tests/core/connection/upstream_queue.cpp
+++ b/Tests/core/connection/upstream_queue.cpp
@@ -95,12 +95,15 @@
             const auto apply = [&](const upstream_queue::actions& result)
             {
                 for (const auto id : result.dropped)
-                    RC_ASSERT(waiting.at(id) <= now && waiting.erase(id) == 1U);
+                    require(waiting.at(id) <= now && waiting.erase(id) == 1,
+                            "dropped once, late");
                 for (const auto id : result.start)
                 {
-                    RC_ASSERT(waiting.at(id) > now && waiting.erase(id) == 1U);
+                    require(waiting.at(id) > now && waiting.erase(id) == 1,
+                            "started once, in time");
                     running.push_back(id);
-                    RC_ASSERT(running.size() <= queue.limit());
+                    require(running.size() <= queue.limit(),
+                            "started within the limit");
                 }
             };
             for (std::uint64_t step = 1; step <= 100; ++step)
@@ -136,11 +139,12 @@
                     apply(queue.set_connection_share(share, now));
                 }
                 apply(queue.expire(now));
-                RC_ASSERT(queue.limit() >= 1U && queue.limit() <= share);
-                RC_ASSERT(queue.running() == running.size());
-                RC_ASSERT(queue.waiting() == waiting.size());
-                RC_ASSERT(std::min<std::size_t>(waiting.size(), 1) <=
-                          running.size() / queue.limit());
+                require(queue.limit() >= 1 && queue.limit() <= share, "bounds");
+                require(queue.running() == running.size() &&
+                            queue.waiting() == waiting.size(),
+                        "counts");
+                require(waiting.empty() || running.size() >= queue.limit(),
+                        "no free place while calls wait");
             }
         });
     INFO(failure);
--- a/Tests/core/property.hpp
+++ b/Tests/core/property.hpp
@@ -12,6 +12,14 @@
 namespace wisteriahatch
 {
 
+// Fails the case unless the rule holds. RC_ASSERT would evaluate both sides of
+// || and &&, and keeps references to operands.
+inline void require(bool holds, const char* rule)
+{
+    if (!holds)
+        RC_FAIL(rule);
+}
+
 // Random decisions of one test case. After the last one every decision is 0,
 // which by convention is the undisturbed case.
 class choices
@@ -40,7 +48,7 @@
     std::size_t next = 0;
 };
 
-// Checks `property`, which takes choices and fails by RC_ASSERT, on `cases`
+// Checks `property`, which takes choices and fails by require(), on `cases`
 // cases from a fixed seed, whatever RC_PARAMS says: each run gives the same
 // verdict. Returns the number of cases that passed before a failure, whose
 // description goes to `failure`, or `cases`.
--- a/Tests/core/request/query_world.hpp
+++ b/Tests/core/request/query_world.hpp
@@ -15,10 +15,6 @@
 namespace wisteriahatch
 {
 
-// Fails the case unless the rule holds. RC_ASSERT would evaluate both sides of
-// || and &&.
-void require(bool holds, const char* rule);
-
 // What the test cases contained, to show that they are not trivial.
 struct query_statistics
 {
--- a/Tests/core/request/query_world_rules.cpp
+++ b/Tests/core/request/query_world_rules.cpp
@@ -5,12 +5,6 @@
 namespace wisteriahatch
 {
 
-void require(bool holds, const char* rule)
-{
-    if (!holds)
-        RC_FAIL(rule);
-}
-
 const group_spec& query_world::group_of(const std::string& shard,
                                         index_version version) const
 {
