Tests: Cover the HTTP server and the upstream pool

Servers, routes and pools run on real loopback sockets in one process; counts decide. The tests found three faults that are fixed here. A reply whose connection closes was counted as running until the peer had closed too, which would have delayed every planned stop. A smaller connection share left idle connections above it open until their idle timeout. Idle connections were used in the order of last use, so that a silent one could leave newer silent ones behind; the newest is now used first.

--- a/Libraries/net/http_server.cpp
+++ b/Libraries/net/http_server.cpp
@@ -176,6 +176,7 @@
 
     void start_session(tcp::socket socket, std::size_t worker)
     {
+        ++this->context->accepted_connections;
         const std::size_t open = ++this->context->open_connections;
         this->context->most_open_connections =
             std::max(open, this->context->most_open_connections.load());
@@ -259,7 +260,8 @@
 http_connection_counts http_server::connections() const
 {
     const auto& context = *this->state->context;
-    return {.open = context.open_connections,
+    return {.accepted = context.accepted_connections,
+            .open = context.open_connections,
             .most_open = context.most_open_connections,
             .refused = context.refused_connections};
 }
--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -50,6 +50,7 @@
 // Connections of a server so far.
 struct http_connection_counts
 {
+    std::size_t accepted = 0;
     std::size_t open = 0;
     std::size_t most_open = 0;
     // Closed because of max_connections.
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -55,6 +55,7 @@
     bool keep_open = true;
     while (keep_open)
         keep_open = co_await this->serve_request();
+    co_await this->discard_input();
     error_code ignored;
     this->stream.socket().close(ignored);
 }
@@ -174,11 +175,7 @@
     error_code failure;
     this->stream.expires_after(this->context->values.idle_timeout);
     co_await http::async_write(this->stream, message, store_error(failure));
-    if (failure)
-        co_return false;
-    if (!keep_open)
-        co_await this->discard_input();
-    co_return keep_open;
+    co_return keep_open && !failure;
 }
 
 asio::awaitable<void> http_session::discard_input()
--- a/Libraries/net/http_session.hpp
+++ b/Libraries/net/http_session.hpp
@@ -20,6 +20,7 @@
     std::atomic<bool> is_draining{false};
     std::atomic<bool> is_stopped{false};
     std::atomic<std::size_t> running_requests{0};
+    std::atomic<std::size_t> accepted_connections{0};
     std::atomic<std::size_t> open_connections{0};
     // Written by the accepting worker only.
     std::atomic<std::size_t> most_open_connections{0};
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -1,5 +1,6 @@
 #include "net/upstream_client.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
@@ -60,6 +61,7 @@
 void upstream_client::update(const upstream_address& changed)
 {
     this->address = changed;
+    this->limit_idle(std::max(1U, changed.connection_share));
     this->apply(
         this->queue.set_connection_share(changed.connection_share, now()));
     this->handle_timer();
@@ -216,23 +218,21 @@
 {
     const auto oldest_heard =
         use == connection_use::fresh ? now() - fresh_time : time_point::min();
-    // The connection that was used last is the most likely to be alive, and
-    // the others can reach their idle timeout.
-    while (!this->idle.empty() &&
-           this->idle.back()->last_heard() >= oldest_heard)
+    // The newest connection is taken first: when it turns out to be silent,
+    // every idle one is older and is closed with it. The others can reach
+    // their idle timeout.
+    for (auto place = this->idle.end(); place != this->idle.begin();)
     {
-        auto connection = std::move(this->idle.back());
-        this->idle.pop_back();
+        --place;
+        if ((*place)->last_heard() < oldest_heard)
+            continue;
+        auto connection = std::move(*place);
+        place = this->idle.erase(place);
         if (connection->is_reusable())
             return connection;
         connection->close();
     }
-    const auto share = std::max(1U, this->address.connection_share);
-    while (!this->idle.empty() && this->busy + this->idle.size() >= share)
-    {
-        this->idle.front()->close();
-        this->idle.erase(this->idle.begin());
-    }
+    this->limit_idle(std::max(1U, this->address.connection_share) - 1);
     return std::make_shared<upstream_connection>(
         this->worker, this->address.endpoint, ++this->opened);
 }
@@ -244,10 +244,24 @@
     const bool is_wanted = !this->is_retired && !this->address.is_leaving &&
                            !this->address.state->is_draining() &&
                            this->busy + this->idle.size() < share;
-    if (is_wanted && connection->is_open())
-        this->idle.push_back(connection);
-    else
+    if (!is_wanted || !connection->is_open())
+    {
         connection->close();
+        return;
+    }
+    const auto newer = std::ranges::find_if(
+        this->idle, [&connection](const connection_ptr& other)
+        { return other->number() > connection->number(); });
+    this->idle.insert(newer, connection);
+}
+
+void upstream_client::limit_idle(std::size_t most)
+{
+    while (!this->idle.empty() && this->busy + this->idle.size() > most)
+    {
+        this->idle.front()->close();
+        this->idle.erase(this->idle.begin());
+    }
 }
 
 void upstream_client::close_idle_before(std::uint64_t number)
--- a/Libraries/net/upstream_client.hpp
+++ b/Libraries/net/upstream_client.hpp
@@ -68,6 +68,9 @@
     // Returns an idle connection that the call may use, or a new one.
     connection_ptr take_connection(connection_use use);
     void return_connection(const connection_ptr& connection);
+    // Closes the oldest idle connections until at most `most` connections are
+    // left, those in use included.
+    void limit_idle(std::size_t most);
     void close_idle_before(std::uint64_t number);
 
     // Ends a call of which no byte was sent.
@@ -94,6 +97,7 @@
     finish_handler finished;
     upstream_queue queue;
     std::map<call_id, task_ptr> tasks;
+    // In the order of opening.
     std::vector<connection_ptr> idle;
     // Connections in use or being opened.
     unsigned busy = 0;
--- /dev/null
+++ b/Tests/net/http_server.cpp
@@ -0,0 +1,212 @@
+#include "net/http_server.hpp"
+
+#include "net/http_client.hpp"
+#include "net/loopback.hpp"
+
+#include <array>
+#include <boost/json/parse.hpp>
+#include <doctest/doctest.h>
+#include <memory>
+#include <vector>
+
+using namespace wisteriahatch;
+
+namespace
+{
+
+constexpr std::size_t body_limit = 1000;
+
+// A server on loopback: "/echo" answers the body, "/hold" waits for the gate.
+struct server_fixture
+{
+    gate held;
+    std::atomic<unsigned> peers_gone{0};
+    std::array<std::atomic<unsigned>, 4> by_worker{};
+    worker_pool workers{4};
+    http_server server{workers,
+                       {.listen = any_loopback_port(),
+                        .max_body_bytes = body_limit,
+                        .max_connections = 100},
+                       [this](http_request request)
+                       { return this->handle(std::move(request)); }};
+
+    server_fixture()
+    {
+        REQUIRE(this->server.start());
+        this->workers.start();
+    }
+
+    ~server_fixture()
+    {
+        this->held.is_open = true;
+        this->workers.stop();
+    }
+
+    asio::awaitable<http_reply> handle(http_request request)
+    {
+        ++this->by_worker.at(worker_pool::current());
+        *request.on_peer_gone = [this] { ++this->peers_gone; };
+        if (request.target == "/hold")
+            co_await this->held.wait();
+        if (request.target == "/throw")
+            throw std::runtime_error("handler fault");
+        http_reply reply;
+        reply.body = request.target + " " + request.body;
+        co_return reply;
+    }
+
+    std::string echo()
+    {
+        http_client_request request;
+        request.target = "/echo";
+        const auto reply = fetch_blocking(this->server.endpoint(), request);
+        return reply ? reply.value().body : reply.error().message;
+    }
+};
+
+}
+
+// Guards against a connection that is closed or mixes up replies after its
+// first request, also when requests arrive before the reply to the last one.
+TEST_CASE_FIXTURE(server_fixture, "a connection carries several requests")
+{
+    raw_client client(this->server.endpoint());
+    for (const auto* target : {"/1", "/2"})
+    {
+        client.get(target);
+        CHECK(client.read().body() == std::string(target) + " ");
+    }
+    client.send("GET /3 HTTP/1.1\r\n\r\nGET /4 HTTP/1.1\r\n\r\n");
+    CHECK(client.read().body() == "/3 ");
+    CHECK(client.read().body() == "/4 ");
+    CHECK(this->server.connections().accepted == 1);
+    CHECK(wait_until([&] { return this->server.running_requests() == 0; }));
+}
+
+// Guards against requests that end the process, hang, or get an untyped error.
+TEST_CASE_FIXTURE(server_fixture, "unreadable requests get typed errors")
+{
+    struct unreadable
+    {
+        std::string bytes;
+        unsigned status;
+        std::string kind;
+    };
+    const std::string large(body_limit + 1, 'x');
+    const std::string head = "POST /echo HTTP/1.1\r\n";
+    const std::vector<unreadable> table{
+        {"NONSENSE\r\n\r\n", 400, "malformed_request"},
+        {"GET / HTTP/7.3\r\n\r\n", 400, "malformed_request"},
+        {head + "Content-Length: many\r\n\r\n", 400, "malformed_request"},
+        {head + "A: " + std::string(20000, 'x') + "\r\n\r\n", 400,
+         "malformed_request"},
+        {head + "Content-Length: 1001\r\n\r\n" + large, 413, "body_too_large"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + large +
+             "\r\n0\r\n\r\n",
+         413, "body_too_large"},
+        {"GET /throw HTTP/1.1\r\nConnection: close\r\n\r\n", 500, "internal"},
+    };
+    for (const auto& each : table)
+    {
+        CAPTURE(each.bytes.substr(0, 60));
+        raw_client client(this->server.endpoint());
+        client.send(each.bytes);
+        const auto reply = client.read();
+        CHECK(reply.result_int() == each.status);
+        const auto body = boost::json::parse(reply.body()).as_object();
+        CHECK(body.at("error").as_string() == each.kind);
+        CHECK(!body.at("message").as_string().empty());
+        CHECK(!reply.keep_alive());
+        // The connection is closed afterwards.
+        CHECK(client.read().result_int() == 0);
+    }
+    CHECK(this->echo() == "/echo ");
+    CHECK(wait_until([&] { return this->server.connections().open == 0; }));
+}
+
+// Guards against a planned stop that cuts off requests which were being
+// answered, or connections that waited to be accepted.
+TEST_CASE_FIXTURE(server_fixture, "a drain cuts off no request")
+{
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (unsigned number = 0; number < 40; ++number)
+    {
+        clients.push_back(
+            std::make_unique<raw_client>(this->server.endpoint()));
+        clients.back()->get("/hold");
+    }
+    raw_client idle(this->server.endpoint());
+    idle.get("/echo");
+    CHECK(idle.read().keep_alive());
+    REQUIRE(wait_until([&] { return this->server.running_requests() == 40; }));
+    this->server.begin_drain();
+    raw_client late(this->server.endpoint());
+    late.get("/echo");
+    CHECK(late.read()["Connection"] == "close");
+    this->server.stop_accepting();
+    CHECK(idle.read().result_int() == 0);
+    CHECK(wait_until([&] { return this->server.running_requests() == 40; }));
+    this->held.is_open = true;
+    unsigned answered = 0;
+    for (const auto& client : clients)
+    {
+        const auto reply = client->read();
+        answered += reply.body() == "/hold " && !reply.keep_alive() ? 1 : 0;
+    }
+    CHECK(answered == 40);
+    CHECK(wait_until([&] { return this->server.running_requests() == 0; }));
+    CHECK(!fetch_blocking(this->server.endpoint(), {}));
+}
+
+// Guards against workers that stay unused while others carry all connections.
+TEST_CASE_FIXTURE(server_fixture, "connections spread evenly over workers")
+{
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (unsigned number = 0; number < 20; ++number)
+    {
+        clients.push_back(
+            std::make_unique<raw_client>(this->server.endpoint()));
+        clients.back()->get("/echo");
+        CHECK(clients.back()->read().result_int() == 200);
+    }
+    for (const auto& requests : this->by_worker)
+        CHECK(requests == 5);
+}
+
+// Guards against work that goes on for peers that have gone, and against
+// connections whose failure harms others.
+TEST_CASE_FIXTURE(server_fixture, "peers that go away are noticed")
+{
+    const std::vector<void (raw_client::*)()> table{
+        &raw_client::close, &raw_client::reset, &raw_client::half_close};
+    unsigned gone = 0;
+    for (const auto leave : table)
+    {
+        raw_client client(this->server.endpoint());
+        client.get("/hold");
+        REQUIRE(
+            wait_until([&] { return this->server.running_requests() == 1; }));
+        (client.*leave)();
+        ++gone;
+        CHECK(wait_until([&] { return this->peers_gone == gone; }));
+        this->held.is_open = true;
+        CHECK(wait_until([&] { return this->server.running_requests() == 0; }));
+        this->held.is_open = false;
+    }
+    CHECK(this->echo() == "/echo ");
+    CHECK(this->peers_gone == 3);
+}
+
+// Guards against a connection limit that is exceeded or never frees places.
+TEST_CASE_FIXTURE(server_fixture, "connections beyond the limit are closed")
+{
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (unsigned number = 0; number < 103; ++number)
+        clients.push_back(
+            std::make_unique<raw_client>(this->server.endpoint()));
+    CHECK(wait_until([&] { return this->server.connections().refused == 3; }));
+    CHECK(this->server.connections().most_open == 100);
+    clients.clear();
+    CHECK(wait_until([&] { return this->server.connections().open == 0; }));
+    CHECK(this->echo() == "/echo ");
+}
--- /dev/null
+++ b/Tests/net/upstream_pool.cpp
@@ -0,0 +1,437 @@
+#include "net/upstream_pool.hpp"
+
+#include "net/http_client.hpp"
+#include "net/loopback.hpp"
+#include "StandIns/silencer/route.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::size_t reply_limit = 1000;
+
+// An upstream "u" on loopback behind a route that can be made silent, and a
+// pool of two workers. "/hold" waits for the gate; any other target gets
+// `answer`.
+struct pool_fixture
+{
+    gate held;
+    http_reply answer;
+    std::mutex lock;
+    std::vector<std::string> received;
+    std::atomic<unsigned> running{0};
+    std::atomic<unsigned> most_running{0};
+    std::atomic<unsigned> peers_gone{0};
+    std::atomic<unsigned> handlers_called{0};
+    worker_pool upstream_worker{1};
+    http_server upstream{upstream_worker,
+                         {.listen = any_loopback_port()},
+                         [this](http_request request)
+                         { return this->handle(std::move(request)); }};
+    std::shared_ptr<route> path;
+    worker_pool workers{2};
+    std::shared_ptr<upstream_state> state = std::make_shared<upstream_state>(
+        "u", "zone", std::chrono::steady_clock::now());
+    std::optional<upstream_pool> pool;
+
+    pool_fixture()
+    {
+        REQUIRE(this->upstream.start());
+        this->path = std::make_shared<route>(this->upstream_worker.at(0),
+                                             any_loopback_port(),
+                                             this->upstream.endpoint());
+        REQUIRE(this->path->start());
+        this->upstream_worker.start();
+        this->workers.start();
+        this->create_pool({.max_reply_bytes = reply_limit}, 3);
+    }
+
+    ~pool_fixture()
+    {
+        this->held.is_open = true;
+        this->workers.stop();
+        this->upstream_worker.stop();
+    }
+
+    void create_pool(upstream_pool::options values, unsigned share)
+    {
+        this->pool.emplace(this->workers, values);
+        this->set_share(share);
+    }
+
+    void set_share(unsigned share)
+    {
+        this->pool->set_upstreams({{"u",
+                                    {.endpoint = this->path->listen(),
+                                     .connection_share = share,
+                                     .state = this->state}}});
+    }
+
+    asio::awaitable<http_reply> handle(http_request request)
+    {
+        {
+            const std::scoped_lock guard(this->lock);
+            this->received.push_back(request.body);
+        }
+        *request.on_peer_gone = [this] { ++this->peers_gone; };
+        this->most_running =
+            std::max(this->most_running.load(), ++this->running);
+        if (request.target == "/hold")
+            co_await this->held.wait();
+        --this->running;
+        co_return this->answer;
+    }
+
+    std::vector<std::string> received_bodies()
+    {
+        const std::scoped_lock guard(this->lock);
+        return this->received;
+    }
+
+    std::size_t received_count()
+    {
+        return this->received_bodies().size();
+    }
+
+    static upstream_call make_call(const std::string& target,
+                                   const std::string& body = "work")
+    {
+        upstream_call call;
+        call.replica = "u";
+        call.target = target;
+        call.body = body;
+        call.deadline = std::chrono::steady_clock::now() + 20s;
+        return call;
+    }
+
+    // Starts a call on a worker.
+    std::future<upstream_result> start(upstream_call call,
+                                       std::size_t worker = 0)
+    {
+        auto promise = std::make_shared<std::promise<upstream_result>>();
+        auto answered = promise->get_future();
+        asio::post(this->workers.at(worker),
+                   [this, call = std::move(call), promise]
+                   {
+                       this->pool->start(call,
+                                         [this, promise](upstream_result ended)
+                                         {
+                                             ++this->handlers_called;
+                                             promise->set_value(
+                                                 std::move(ended));
+                                         });
+                   });
+        return answered;
+    }
+
+    upstream_result run(upstream_call call)
+    {
+        return this->start(std::move(call)).get();
+    }
+
+    // Starts calls to "/hold", so that each takes a connection.
+    std::vector<std::future<upstream_result>> hold(unsigned count)
+    {
+        std::vector<std::future<upstream_result>> calls;
+        const auto before = this->received_count();
+        for (unsigned number = 0; number < count; ++number)
+            calls.push_back(this->start(make_call("/hold")));
+        REQUIRE(wait_until(
+            [&] { return this->received_count() == before + count; }));
+        return calls;
+    }
+
+    unsigned release(std::vector<std::future<upstream_result>>& calls)
+    {
+        this->held.is_open = true;
+        unsigned answered = 0;
+        for (auto& call : calls)
+            answered += call.get() ? 1 : 0;
+        this->held.is_open = false;
+        return answered;
+    }
+};
+
+}
+
+// Guards against replies that are lost, taken for others, or recorded wrongly
+// in the upstream's observations.
+TEST_CASE_FIXTURE(pool_fixture, "each reply ends its call and is recorded")
+{
+    struct reply_case
+    {
+        unsigned status;
+        std::size_t body_bytes;
+        std::optional<std::size_t> announced;
+        // Nothing for a reply.
+        std::optional<error_kind> kind;
+        // Whether the latency counts as a failure's.
+        bool is_slow;
+    };
+    const std::vector<reply_case> table{
+        {200, 10, {}, {}, false},
+        {409, 10, {}, {}, false},
+        {503, 10, {}, {}, true},
+        {500, 10, {}, {}, true},
+        {200, reply_limit, {}, {}, false},
+        {200, reply_limit + 1, {}, error_kind::reply_too_large, true},
+        {200, 10, 11, error_kind::truncated_reply, true},
+        {200, 0, 1, error_kind::truncated_reply, true},
+    };
+    for (const auto& each : table)
+    {
+        CAPTURE(each.status);
+        CAPTURE(each.body_bytes);
+        this->state = std::make_shared<upstream_state>(
+            "u", "zone", std::chrono::steady_clock::now());
+        this->set_share(3);
+        this->answer.status = each.status;
+        this->answer.body = std::string(each.body_bytes, 'x');
+        this->answer.announced_length = each.announced;
+        const auto ended = this->run(make_call("/any"));
+        CHECK(ended.has_value() == !each.kind);
+        if (ended)
+            CHECK(ended.value().status == each.status);
+        if (ended)
+            CHECK(ended.value().body == this->answer.body);
+        if (!ended)
+            CHECK(ended.error().kind == *each.kind);
+        if (!ended)
+            CHECK(ended.error().was_sent);
+        CHECK((this->state->smoothed_latency() >= 1s) == each.is_slow);
+        CHECK(this->state->in_flight() == 0);
+    }
+    CHECK(this->received_count() == table.size());
+}
+
+// Guards against index versions, load and draining that are not taken over.
+TEST_CASE_FIXTURE(pool_fixture, "reply headers are stored")
+{
+    this->answer.headers = {
+        {"x-load", "1.5"}, {"x-draining", "0"}, {"x-index-versions", "1, 3"}};
+    CHECK(this->run(make_call("/any")));
+    CHECK(this->state->reported_load() == 1.5);
+    CHECK(this->state->may_hold(index_version{3}));
+    CHECK(!this->state->may_hold(index_version{2}));
+
+    this->answer.status = 409;
+    this->answer.headers.clear();
+    this->answer.body = R"({"error":"version_unavailable","versions":[2]})";
+    CHECK(this->run(make_call("/any")));
+    CHECK(this->state->may_hold(index_version{2}));
+    CHECK(!this->state->may_hold(index_version{3}));
+    CHECK(!this->state->is_draining());
+}
+
+// Guards against work for an upstream that is leaving, and against an upstream
+// that returns and gets no work for ever.
+TEST_CASE_FIXTURE(pool_fixture, "a draining upstream gets no further work")
+{
+    auto calls = this->hold(2);
+    this->answer.headers = {{"x-draining", "1"}};
+    CHECK(this->run(make_call("/any")));
+    CHECK(this->state->is_draining());
+    const auto refused = this->run(make_call("/any"));
+    REQUIRE(!refused);
+    CHECK(refused.error().kind == error_kind::upstream_shed);
+    CHECK(!refused.error().was_sent);
+    CHECK(this->release(calls) == 2);
+    CHECK(wait_until([&] { return this->upstream.connections().open == 0; }));
+    CHECK(this->received_count() == 3);
+
+    this->answer.headers = {{"x-draining", "0"}};
+    CHECK(this->run(make_call("/status", "")));
+    CHECK(!this->state->is_draining());
+    CHECK(this->run(make_call("/any")));
+}
+
+// Guards against more connections than the share, which together with other
+// instances would exceed the upstream's limit.
+TEST_CASE_FIXTURE(pool_fixture, "the connection share is never exceeded")
+{
+    this->create_pool({.idle_timeout = 60s}, 3);
+    std::vector<std::future<upstream_result>> calls;
+    for (unsigned number = 0; number < 300; ++number)
+        calls.push_back(this->start(make_call("/any"), number % 2));
+    unsigned answered = 0;
+    for (auto& call : calls)
+        answered += call.get() ? 1 : 0;
+    CHECK(answered == 300);
+    CHECK(this->upstream.connections().accepted <= 3);
+    CHECK(this->most_running <= 3);
+    CHECK(this->state->in_flight() == 0);
+
+    // A smaller share closes what exceeds it.
+    this->set_share(1);
+    auto held_calls = this->hold(1);
+    CHECK(this->release(held_calls) == 1);
+    CHECK(wait_until([&] { return this->upstream.connections().open <= 1; }));
+}
+
+// Guards against work that is sent although nobody waits for it any more, or
+// although the run registry has withdrawn it.
+TEST_CASE_FIXTURE(pool_fixture, "expired and withdrawn work is never sent")
+{
+    this->set_share(1);
+    auto held_calls = this->hold(1);
+    std::vector<std::future<upstream_result>> late;
+    for (unsigned number = 0; number < 10; ++number)
+    {
+        auto call = make_call("/any");
+        call.deadline = std::chrono::steady_clock::now() + 20ms;
+        late.push_back(this->start(call, number % 2));
+    }
+    auto withdrawn = make_call("/any");
+    withdrawn.before_send = [] { return false; };
+    late.push_back(this->start(withdrawn));
+    for (unsigned number = 0; number < 10; ++number)
+        late[number].wait();
+    CHECK(this->release(held_calls) == 1);
+    for (auto& call : late)
+    {
+        const auto ended = call.get();
+        REQUIRE(!ended);
+        CHECK(ended.error().kind == error_kind::deadline_passed);
+        CHECK(!ended.error().was_sent);
+    }
+    CHECK(this->received_count() == 1);
+    CHECK(this->state->in_flight() == 0);
+    CHECK(this->run(make_call("/any")));
+}
+
+// Guards against waiting calls that overtake more urgent ones.
+TEST_CASE_FIXTURE(pool_fixture, "waiting calls go by priority, then deadline")
+{
+    this->set_share(1);
+    auto calls = this->hold(1);
+    const std::vector<std::pair<unsigned, std::string>> table{
+        {2, "e"}, {0, "b"}, {0, "a"}, {1, "d"}, {1, "c"}};
+    std::chrono::seconds deadline{20};
+    for (const auto& [priority, body] : table)
+    {
+        auto call = make_call("/any", body);
+        call.priority = priority;
+        call.deadline = std::chrono::steady_clock::now() + --deadline;
+        calls.push_back(this->start(call));
+    }
+    CHECK(wait_until([&] { return this->state->in_flight() == 6; }));
+    CHECK(this->release(calls) == 6);
+    CHECK(this->received_bodies() ==
+          std::vector<std::string>{"work", "a", "b", "c", "d", "e"});
+}
+
+// Guards against requests lost one by one on connections that swallow them.
+TEST_CASE_FIXTURE(pool_fixture, "silent connections are replaced")
+{
+    this->create_pool({.attempt_timeout = 100ms}, 3);
+    auto calls = this->hold(3);
+    CHECK(this->release(calls) == 3);
+    REQUIRE(wait_until([&] { return this->upstream.connections().open == 3; }));
+    asio::post(this->upstream_worker.at(0),
+               [this] { this->path->silence_existing(); });
+    const auto silent = this->run(make_call("/any"));
+    REQUIRE(!silent);
+    CHECK(silent.error().kind == error_kind::upstream_timeout);
+    CHECK(silent.error().was_sent);
+    unsigned answered = 0;
+    for (unsigned number = 0; number < 10; ++number)
+        answered += this->run(make_call("/any")) ? 1 : 0;
+    CHECK(answered == 10);
+    CHECK(this->upstream.connections().accepted == 4);
+    CHECK(this->state->in_flight() == 0);
+}
+
+// Guards against non-idempotent work on a connection that may have gone silent
+// while it was idle.
+TEST_CASE_FIXTURE(pool_fixture, "fresh calls avoid connections that were idle")
+{
+    this->set_share(1);
+    auto call = make_call("/any");
+    call.use = connection_use::fresh;
+    CHECK(this->run(call));
+    CHECK(this->run(call));
+    CHECK(this->upstream.connections().accepted == 1);
+    std::this_thread::sleep_for(1100ms);
+    CHECK(this->run(make_call("/any")));
+    CHECK(this->upstream.connections().accepted == 1);
+    std::this_thread::sleep_for(1100ms);
+    CHECK(this->run(call));
+    CHECK(this->upstream.connections().accepted == 2);
+}
+
+// Guards against answers for callers that have gone, and against upstreams
+// that go on working for them.
+TEST_CASE_FIXTURE(pool_fixture, "a cancelled call never calls its handler")
+{
+    std::promise<std::vector<upstream_call_id>> started;
+    asio::post(this->workers.at(1),
+               [&]
+               {
+                   std::vector<upstream_call_id> ids;
+                   for (unsigned number = 0; number < 20; ++number)
+                       ids.push_back(this->pool->start(
+                           make_call("/hold"), [this](const upstream_result&)
+                           { ++this->handlers_called; }));
+                   started.set_value(std::move(ids));
+               });
+    const auto ids = started.get_future().get();
+    CHECK(wait_until([&] { return this->received_count() == 3; }));
+    // The last ones first, so that cancelling frees no place for them.
+    asio::post(this->workers.at(1),
+               [&]
+               {
+                   for (auto id = ids.rbegin(); id != ids.rend(); ++id)
+                       this->pool->cancel(*id);
+               });
+    CHECK(wait_until([&] { return this->peers_gone == 3; }));
+    this->held.is_open = true;
+    CHECK(this->start(make_call("/any"), 1).get());
+    CHECK(this->handlers_called == 1);
+    CHECK(this->received_count() == 4);
+    CHECK(this->state->in_flight() == 0);
+}
+
+// Guards against calls that never end when their upstream can't be reached or
+// leaves the set.
+TEST_CASE_FIXTURE(pool_fixture, "unreachable and removed upstreams end calls")
+{
+    this->set_share(1);
+    auto calls = this->hold(1);
+    auto waiting = this->start(make_call("/any"));
+    CHECK(wait_until([&] { return this->state->in_flight() == 2; }));
+    this->pool->set_upstreams({});
+    const auto removed = waiting.get();
+    CHECK(this->release(calls) == 1);
+    CHECK(wait_until([&] { return this->upstream.connections().open == 0; }));
+    const auto unknown = this->run(make_call("/any"));
+
+    this->set_share(1);
+    std::promise<void> closed;
+    asio::post(this->upstream_worker.at(0),
+               [&]
+               {
+                   CHECK(this->path->set_refuse(true));
+                   closed.set_value();
+               });
+    closed.get_future().wait();
+    const auto refused = this->run(make_call("/any"));
+    for (const auto* ended : {&removed, &unknown, &refused})
+    {
+        REQUIRE(!*ended);
+        CHECK(ended->error().kind == error_kind::connect_failed);
+        CHECK(!ended->error().was_sent);
+    }
+    CHECK(this->received_count() == 1);
+    CHECK(this->state->in_flight() == 0);
+}
