bench: Measure the slopes of the capacity page with the real code

The figures of the two-year size have to follow from measured slopes. A wall-clock benchmark was ruled out because the machine is shared.

--- /dev/null
+++ b/Programs/bench/measure_ownership.cpp
@@ -0,0 +1,98 @@
+#include "core/version/ownership.hpp"
+#include "measures.hpp"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+constexpr const char* role = "relay";
+constexpr std::size_t servers = 1000;
+// Owners of a server with 30 connections.
+constexpr unsigned owner_count = 15;
+constexpr std::size_t failure_domains = 23;
+
+std::vector<owner_candidate> make_candidates(std::size_t members)
+{
+    std::vector<owner_candidate> candidates;
+    for (std::size_t at = 0; at < members; ++at)
+    {
+        candidates.push_back(
+            {.name = "entry-" + std::to_string(at),
+             .failure_domain =
+                 "fd-" +
+                 std::to_string(at % std::min(members, failure_domains))});
+    }
+    return candidates;
+}
+
+std::string server_name(std::size_t at)
+{
+    return "server-" + std::to_string(at);
+}
+
+// Owner places that the remaining candidates take over.
+struct owner_moves
+{
+    // Servers with at least one new owner.
+    double servers_changed = 0;
+    double places_changed = 0;
+};
+
+owner_moves count_moves(const std::vector<owner_candidate>& before,
+                        const std::vector<owner_candidate>& after)
+{
+    owner_moves moves;
+    for (std::size_t at = 0; at < servers; ++at)
+    {
+        const auto old_owners = owners_of(server_name(at), owner_count, before);
+        const std::set<std::string> known(old_owners.begin(), old_owners.end());
+        const auto new_owners = owners_of(server_name(at), owner_count, after);
+        std::size_t added = 0;
+        for (const auto& owner : new_owners)
+            added += known.contains(owner) ? 0 : 1;
+        moves.places_changed += static_cast<double>(added);
+        moves.servers_changed += added > 0 ? 1 : 0;
+    }
+    return moves;
+}
+
+}
+
+figures measure_owner_moves(const bench_options& options)
+{
+    const auto all = make_candidates(options.size);
+    auto without_one = all;
+    without_one.erase(without_one.begin());
+    auto without_domain = all;
+    std::erase_if(without_domain, [](const owner_candidate& candidate)
+                  { return candidate.failure_domain == "fd-0"; });
+    const owner_moves one = count_moves(all, without_one);
+    const owner_moves domain = count_moves(all, without_domain);
+    constexpr auto places = static_cast<double>(servers * owner_count);
+    return {{role, "servers_changed_by_one_instance", options.size,
+             one.servers_changed / servers, "ratio"},
+            {role, "places_changed_by_one_instance", options.size,
+             one.places_changed / places, "ratio"},
+            {role, "servers_changed_by_one_domain", options.size,
+             domain.servers_changed / servers, "ratio"},
+            {role, "places_changed_by_one_domain", options.size,
+             domain.places_changed / places, "ratio"}};
+}
+
+figures measure_ownership(const bench_options& options)
+{
+    const auto candidates = make_candidates(options.size);
+    std::size_t chosen = 0;
+    for (std::size_t at = 0; at < options.iterations; ++at)
+        chosen += owners_of(server_name(at), owner_count, candidates).size();
+    return {{role, "owners_found", options.size, static_cast<double>(chosen),
+             "owners"}};
+}
+
+}
--- /dev/null
+++ b/Programs/bench/measure_rpc.cpp
@@ -0,0 +1,50 @@
+#include "core/process/gossip_codec.hpp"
+#include "measures.hpp"
+#include "rpc/peer_rpc.hpp"
+
+namespace wisteriahatch
+{
+
+figures measure_rpc(const bench_options& options)
+{
+    gossip_message message;
+    for (std::size_t at = 0; at < options.size; ++at)
+    {
+        message.records.push_back(
+            {.address = "10.0.0." + std::to_string(at % 250) + ":9100",
+             .failure_domain = "jm-kgn",
+             .nonce = {0x123456789abcdef0ULL + at},
+             .epoch = 1'700'000'000'000 + at});
+    }
+    message.sender = {
+        .address = "10.0.0.1:9100",
+        .failure_domain = "jm-kgn",
+        .nonce = {0x123456789abcdef0ULL},
+        .epoch = 1'700'000'000'000,
+        .document = {.serial = 1, .digest = std::string(64, 'a')}};
+    std::string text = encode_gossip(message);
+    rpc_server server;
+    server.add("gossip.exchange", [&text](const std::string&) { return text; });
+    std::size_t request_bytes = 0;
+    std::size_t response_bytes = 0;
+    for (std::size_t at = 0; at < options.iterations; ++at)
+    {
+        call_peer(
+            [&](const std::string& request)
+            {
+                std::string response = server.handle(request);
+                request_bytes = request.size();
+                response_bytes = response.size();
+                return response;
+            },
+            "gossip.exchange", text);
+    }
+    return {{"entry", "rpc_request", options.size,
+             static_cast<double>(request_bytes), "bytes"},
+            {"entry", "rpc_response", options.size,
+             static_cast<double>(response_bytes), "bytes"},
+            {"entry", "gossip_text", options.size,
+             static_cast<double>(text.size()), "bytes"}};
+}
+
+}
--- /dev/null
+++ b/Programs/bench/sample_document.hpp
@@ -0,0 +1,30 @@
+#ifndef WISTERIAHATCH_BENCH_SAMPLE_DOCUMENT_HPP
+#define WISTERIAHATCH_BENCH_SAMPLE_DOCUMENT_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace wisteriahatch
+{
+
+// Shape of a generated document.
+struct sample_document_options
+{
+    std::uint64_t serial = 1;
+    // Services, each with `groups` groups of 3 replicas and one shard a group.
+    std::size_t services = 1;
+    std::size_t groups = 10;
+    std::size_t max_entry_instances = 12;
+};
+
+// Returns a document that check_document accepts.
+std::string make_sample_document(const sample_document_options& options);
+
+// Returns a document of about `bytes` bytes; services with 10 groups are
+// added until it is reached.
+std::string make_document_of_size(std::size_t bytes, std::uint64_t serial);
+
+}
+
+#endif
