core: Detect silent connections within a third of the deadline

Cause: an attempt waited 2 s for its first byte, longer than most classes' deadlines, and only the hedge budget allowed another replica. Ruled out: a larger hedge budget (it pays for stragglers and would be spent on each query), a shorter fixed timeout (a slow upstream would look silent). Now the timeout is a third of the remaining time, at least twice the hedge delay, counted from sending; after it the query asks other replicas over new connections.

--- a/Libraries/core/request/query.cpp
+++ b/Libraries/core/request/query.cpp
@@ -63,6 +63,7 @@
     {
         this->started = now;
         this->hedge_delay = this->options.shared->hedge_delay(now);
+        this->first_byte_timeout = this->choose_first_byte_timeout(now);
         // Callers choose request ids and may repeat them; the random part
         // keeps a reply to another query from matching.
         this->wire_prefix = this->options.request_id + '-' +
@@ -115,6 +116,8 @@
         auto& progress = this->plan.shards()[shard];
         if (kind == error_kind::wrong_version)
             progress.is_version_refused = true;
+        if (kind == error_kind::upstream_timeout)
+            this->met_silence = true;
         // Another attempt of the shard goes on; it is hedged when it is slow.
         if (!progress.running.empty())
             return;
@@ -170,6 +173,16 @@
                !this->has_fault(injected_fault::ignore_deadline);
     }
 
+    // A third of the time leaves room for two more replicas. Twice the hedge
+    // delay keeps a slow upstream from looking silent: with exponential
+    // latencies 1 in 400 attempts takes longer than twice the 95th percentile.
+    duration choose_first_byte_timeout(time_point now) const
+    {
+        const duration third = (this->options.deadline - now) / 3;
+        const bool has_delay = this->hedge_delay < duration::max() / 2;
+        return has_delay ? std::max(third, 2 * this->hedge_delay) : third;
+    }
+
     // Starts to query `index` from nothing, with an attempt for each shard.
     void start_plan(const index_spec* index, time_point now)
     {
@@ -218,7 +231,9 @@
                          .shard = progress.spec->name,
                          .replica = replica->name(),
                          .version = this->plan.index()->version,
-                         .deadline = this->options.deadline});
+                         .deadline = this->options.deadline,
+                         .first_byte_timeout = this->first_byte_timeout,
+                         .needs_new_connection = this->met_silence});
         this->running.emplace(id, std::move(attempt));
         return true;
     }
@@ -342,6 +357,9 @@
     std::string wire_prefix;
     time_point started;
     duration hedge_delay{};
+    duration first_byte_timeout{};
+    // An attempt ended without a byte of a reply.
+    bool met_silence = false;
     unsigned plans = 0;
     unsigned sent = 0;
     query_plan plan;
--- a/Libraries/core/request/query.hpp
+++ b/Libraries/core/request/query.hpp
@@ -38,6 +38,12 @@
     std::string replica;
     index_version version;
     time_point deadline;
+    // Without a byte of the reply for this long after sending, the connection
+    // counts as silent and the attempt fails with upstream_timeout.
+    duration first_byte_timeout{0};
+    // Set after an attempt met a silent connection: the open connections to
+    // other replicas may be silent for the same reason.
+    bool needs_new_connection = false;
 };
 
 // Cancel a sub-request; its reply, if any, is ignored.
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -184,7 +184,11 @@
     }
     if (!this->prepare_send(task))
         co_return;
-    const auto first_byte = now() + this->values.attempt_timeout;
+    const auto& patience = task->call.first_byte_timeout;
+    const auto first_byte =
+        now() + (patience > duration::zero()
+                     ? patience
+                     : duration(this->values.attempt_timeout));
     auto exchange = co_await connection->exchange(task->call, first_byte,
                                                   this->values.max_reply_bytes);
     if (!task->is_cancelled)
@@ -216,8 +220,11 @@
 upstream_client::connection_ptr
 upstream_client::take_connection(connection_use use)
 {
-    const auto oldest_heard =
-        use == connection_use::fresh ? now() - fresh_time : time_point::min();
+    auto oldest_heard = time_point::min();
+    if (use == connection_use::fresh)
+        oldest_heard = now() - fresh_time;
+    else if (use == connection_use::unused)
+        oldest_heard = time_point::max();
     // The newest connection is taken first: when it turns out to be silent,
     // every idle one is older and is closed with it. The others can reach
     // their idle timeout.
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -22,6 +22,8 @@
     any,
     // New, or heard from within the last second. For non-idempotent requests.
     fresh,
+    // Always new. For a request whose last attempt met a silent connection.
+    unused,
 };
 
 // One request to one upstream: POST, or GET when the body is empty. A POST is
@@ -35,6 +37,9 @@
     time_point deadline;
     unsigned priority = 0;
     connection_use use = connection_use::any;
+    // Without a byte of the reply for this long after sending, the connection
+    // counts as silent. Zero takes the pool's attempt_timeout.
+    duration first_byte_timeout{0};
     // Called just before the first byte is written, on the worker of the
     // upstream; when it returns false the call ends with deadline_passed and
     // nothing is sent. May be empty.
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -28,6 +28,13 @@
     [ "$status" -ne 0 ] && [ "$program_failed" -eq 0 ] && program_failed=1
     failed=$((failed + program_failed))
 done
+echo "== process tests"
+output=$(WISTERIAHATCH_BIN="$PWD/$folder/bin" Tests/process/run.sh 2>&1)
+echo "$output"
+counts=$(grep -E '^process tests: ' <<<"$output" | tail -1)
+process_failed=$(grep -oE '[0-9]+ failed' <<<"$counts" | grep -oE '[0-9]+' || echo 1)
+passed=$((passed + $(grep -oE '[0-9]+ passed' <<<"$counts" | grep -oE '[0-9]+' || echo 0)))
+failed=$((failed + process_failed))
 if [ -s KNOWN-RED.txt ]; then
     echo "== known failures, not run"
     cat KNOWN-RED.txt
--- a/Programs/entry/query_session.cpp
+++ b/Programs/entry/query_session.cpp
@@ -74,6 +74,9 @@
                               this->chosen.query_text, remaining);
     call.deadline = action.deadline;
     call.priority = this->priority;
+    call.first_byte_timeout = action.first_byte_timeout;
+    if (action.needs_new_connection)
+        call.use = connection_use::unused;
     const auto attempt = action.attempt;
     this->calls[attempt] = this->chosen.upstreams->start(
         std::move(call),
