--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -19,7 +19,7 @@
 
 # Sends one query and counts its kind. Usage: ask ENTRY SERVICE CLASS
 ask() {
-    answer=$(curl -s --max-time 5 -X POST "http://127.0.2.$1:8080/v1/query" \
+    answer=$(curl -s --max-time 5 -X POST "http://$fleet_net.2.$1:8080/v1/query" \
         -d "{\"service\":\"$2\",\"class\":\"$3\",\"query\":\"dial blue\"}")
     queries=$((queries + 1))
     case $(jq -r '.complete' <<<"$answer") in
@@ -42,13 +42,13 @@
 show
 
 echo "== a non-idempotent request, sent twice under one run id to two instances"
-run_id=$(curl -s --max-time 5 -X POST http://127.0.2.1:8080/v1/run-ids \
+run_id=$(curl -s --max-time 5 -X POST http://$fleet_net.2.1:8080/v1/run-ids \
     -d '{"service":"studio"}' | jq -r .run_id)
 run_body=$(jq -cn --arg id "$run_id" '{run_id: $id, service: "studio",
     class: "listing", payload: "list dial 4711"}')
-curl -s --max-time 6 -X POST http://127.0.2.1:8080/v1/run -d "$run_body"
+curl -s --max-time 6 -X POST http://$fleet_net.2.1:8080/v1/run -d "$run_body"
 echo
-curl -s --max-time 6 -X POST http://127.0.2.2:8080/v1/run -d "$run_body"
+curl -s --max-time 6 -X POST http://$fleet_net.2.2:8080/v1/run -d "$run_body"
 echo
 
 echo "== one upstream of a group fails: its replicas still cover the shard"
@@ -64,8 +64,8 @@
 fleet_control storefront "$names" '{"fail_fast":false}'
 
 echo "== entry 3 stops gracefully under load"
-"$fleet_bin/wisteriahatch-load" --entries=127.0.2.1:8080,127.0.2.2:8080,127.0.2.3:8080 \
-    --admin_ports=127.0.2.1:8081,127.0.2.2:8081,127.0.2.3:8081 --service=payouts --class=sales-listing --rate=100 \
+"$fleet_bin/wisteriahatch-load" --entries=$fleet_net.2.1:8080,$fleet_net.2.2:8080,$fleet_net.2.3:8080 \
+    --admin_ports=$fleet_net.2.1:8081,$fleet_net.2.2:8081,$fleet_net.2.3:8081 --service=payouts --class=sales-listing --rate=100 \
     --duration_s=12 --warmup_s=0 --output=json >"$fleet_work/load.json" &
 load_pid=$!
 sleep 2
@@ -77,7 +77,7 @@
 echo "entry 3 ended with status $entry_status"
 
 double_runs=$(while IFS='|' read -r _ port; do
-    curl -s --max-time 5 "http://127.0.1.1:$port/counters"
+    curl -s --max-time 5 "http://$fleet_net.1.1:$port/counters"
 done <"$fleet_work/services" | jq -s '[.[][].runs[]? | select(. > 1)] | length')
 cut_requests=$(tail -1 "$fleet_work/load.json" | jq '[.classes[].cut] | add')
 load_queries=$(tail -1 "$fleet_work/load.json" | jq '[.classes[].requests] | add')
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -2,18 +2,21 @@
 # and stop exactly the processes they started. Sourced by demo.sh and the
 # measurement scripts. Needs the folder of the programs in $fleet_bin.
 #
-# Addresses: upstreams 127.0.1.1 from port 20000, counters and control of a
-# service's upstreams 127.0.1.1 from port 19000, platform 127.0.3.1:9000,
-# entry instance N 127.0.2.N ports 8080 (callers), 8081 (admin), 8082 (peers).
+# Addresses below 127.0 (or WISTERIAHATCH_NET, so that two fleets can run side
+# by side): upstreams .1.1 from port 20000, counters and control of a service's
+# upstreams .1.1 from port 19000, platform .3.1:9000, entry instance N .2.N ports
+# 8080 (callers), 8081 (admin), 8082 (peers).
+
+fleet_net="${WISTERIAHATCH_NET:-127.0}"
 
 declare -A fleet_pids=()
 fleet_work=""
-platform=127.0.3.1:9000
+platform="$fleet_net.3.1:9000"
 
 # Prints "service|slots|connections|replica|failure domain|address" for each
 # replica of a document.
 fleet_replicas() {
-    awk -v port=20000 '
+    awk -v port=20000 -v net="$fleet_net" '
         /^\[service / { service = substr($0, 10, length($0) - 10) }
         /^slots/ { split($0, part, /= */); slots[service] = part[2] + 0 }
         /^connections/ { split($0, part, /= */); limit[service] = part[2] + 0 }
@@ -27,7 +30,7 @@
             for (i = 1; i <= count; i++) {
                 split(replicas[i], part, "@")
                 print service "|" slots[service] "|" limit[service] "|" \
-                    part[1] "|" part[2] "|127.0.1.1:" port++
+                    part[1] "|" part[2] "|" net ".1.1:" port++
             }
         }' "$1"
 }
@@ -89,7 +92,7 @@
     limit=$(awk -F'|' -v s="$service" '$1 == s { print $3; exit }' "$fleet_work/replicas")
     fleet_spawn "$name" "$fleet_bin/stand-in-upstream" --upstreams="$list" \
         --slots="$slots" --connections="$limit" \
-        --admin="127.0.1.1:$admin" "$@"
+        --admin="$fleet_net.1.1:$admin" "$@"
 }
 
 # Writes the platform's instance list for the replicas and ENTRIES instances.
@@ -98,11 +101,11 @@
     domains=$(cut -d'|' -f5 "$fleet_work/replicas" | sort -u | paste -sd' ' -)
     {
         awk -F'|' -v silenced="${fleet_silenced:-}" '{
-            if (silenced != "") sub(/127.0.1.1/, "127.0.4.1", $6)
+            if (silenced != "") sub(/\.1\.1:/, ".4.1:", $6)
             print $4 "\tupstream\t" $6 "\t\t" $5 }' "$fleet_work/replicas"
         local i=0
         for i in $(seq "$1"); do
-            printf 'entry-%s\tentry\t127.0.2.%s:8080\t127.0.2.%s:8082\t%s\n' "$i" \
+            printf "entry-%s\tentry\t$fleet_net.2.%s:8080\t$fleet_net.2.%s:8082\t%s\n" "$i" \
                 "$i" "$i" "$(fleet_domain "$i" $domains)"
         done
     } | jq -R -s --argjson revision "${2:-1}" '{revision: $revision, instances:
@@ -125,13 +128,13 @@
     shift 2
     environment=$(sed -n 's/^environment *= *//p' "$fleet_document" | head -1)
     domains=$(cut -d'|' -f5 "$fleet_work/replicas" | sort -u | paste -sd' ' -)
-    seeds=$(seq -f '127.0.2.%.0f:8082' "$entries" | paste -sd, -)
+    seeds=$(seq -f "$fleet_net.2.%.0f:8082" "$entries" | paste -sd, -)
     {
         printf '[instance]\nname = entry-%s\nenvironment = %s\n' "$number" "$environment"
         printf 'failure_domain = %s\n' "$(fleet_domain "$number" $domains)"
-        printf 'caller_address = 127.0.2.%s:8080\n' "$number"
-        printf 'admin_address = 127.0.2.%s:8081\n' "$number"
-        printf 'peer_address = 127.0.2.%s:8082\n' "$number"
+        printf "caller_address = $fleet_net.2.%s:8080\n" "$number"
+        printf "admin_address = $fleet_net.2.%s:8081\n" "$number"
+        printf "peer_address = $fleet_net.2.%s:8082\n" "$number"
         printf '[platform]\naddress = %s\n' "${fleet_platform:-$platform}"
         printf '[peers]\nseeds = %s\n' "$seeds"
         printf '%s\n' "$@"
@@ -165,23 +168,23 @@
         fleet_entry "$i" "$entries" "${fleet_entry_lines[@]}"
     done
     for i in $(seq "$entries"); do
-        fleet_wait "http://127.0.2.$i:8081/ready" || return 1
+        fleet_wait "http://$fleet_net.2.$i:8081/ready" || return 1
     done
 }
 
 # Puts a pass-through proxy before each upstream: entries reach the upstream
-# at 127.0.1.1 through the same port of 127.0.4.1.
+# at .1.1 through the same port of .4.1.
 fleet_silencer() {
     local routes
     routes=$(cut -d'|' -f6 "$fleet_work/replicas" |
-        awk -F: '{ print "127.0.4.1:" $2 "=" $0 }' | paste -sd, -)
+        awk -F: -v net="$fleet_net" '{ print net ".4.1:" $2 "=" $0 }' | paste -sd, -)
     fleet_spawn silencer "$fleet_bin/stand-in-silencer" --routes="$routes" \
-        --admin=127.0.4.1:9790
+        --admin=$fleet_net.4.1:9790
 }
 
 # Prints the address for counters and control of a service's upstreams.
 fleet_admin() {
-    awk -F'|' -v s="$1" '$1 == s { print "127.0.1.1:" $2 }' "$fleet_work/services"
+    awk -F'|' -v s="$1" -v net="$fleet_net" '$1 == s { print net ".1.1:" $2 }' "$fleet_work/services"
 }
 
 # Changes the behaviour of upstreams at run time.
--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -45,8 +45,8 @@
 # Usage: run_load QUERIES_PER_S SECONDS
 run_load() {
     local callers admins counters
-    callers=$(seq -f '127.0.2.%.0f:8080' "$entries" | paste -sd, -)
-    admins=$(seq -f '127.0.2.%.0f:8081' "$entries" | paste -sd, -)
+    callers=$(seq -f "$fleet_net.2.%.0f:8080" "$entries" | paste -sd, -)
+    admins=$(seq -f "$fleet_net.2.%.0f:8081" "$entries" | paste -sd, -)
     counters=$(awk -F'|' -v s="$service" '$1 == s { print $6 }' "$fleet_work/replicas" | paste -sd, -)
     "$fleet_bin/wisteriahatch-load" --entries="$callers" --admin_ports="$admins" \
         --service="$service" --rate="$class:$1:800" --duration_s="$2" --warmup_s=4 \
--- a/Tests/process/checks.sh
+++ b/Tests/process/checks.sh
@@ -41,8 +41,8 @@
     "$fleet_bin/wisteriahatch-load" --mode="$mode" --service="$service" \
         --rate="$class:$load_rate" --duration_s="$load_seconds" --warmup_s=0 \
         --deadline_ms=4000 --output=json \
-        --entries="$(seq -f '127.0.2.%.0f:8080' "$count" | paste -sd, -)" \
-        --admin_ports="$(seq -f '127.0.2.%.0f:8081' "$count" | paste -sd, -)" \
+        --entries="$(seq -f "$fleet_net.2.%.0f:8080" "$count" | paste -sd, -)" \
+        --admin_ports="$(seq -f "$fleet_net.2.%.0f:8081" "$count" | paste -sd, -)" \
         "$@" >"$fleet_work/load.json" 2>"$fleet_work/load.log" &
     load_pid=$!
 }
@@ -82,7 +82,7 @@
 
 # Usage: issue_run_id ENTRY SERVICE
 issue_run_id() {
-    curl -s --max-time 2 -X POST "http://127.0.2.$1:8080/v1/run-ids" \
+    curl -s --max-time 2 -X POST "http://$fleet_net.2.$1:8080/v1/run-ids" \
         -d "{\"service\":\"$2\"}" | jq -r .run_id
 }
 
@@ -94,12 +94,12 @@
 }
 
 post_run() {
-    curl -s --max-time 6 -X POST "http://127.0.2.$1:8080/v1/run" -d "$2"
+    curl -s --max-time 6 -X POST "http://$fleet_net.2.$1:8080/v1/run" -d "$2"
 }
 
 # Usage: query ENTRY SERVICE CLASS
 query() {
-    curl -s --max-time 5 -X POST "http://127.0.2.$1:8080/v1/query" \
+    curl -s --max-time 5 -X POST "http://$fleet_net.2.$1:8080/v1/query" \
         -d "{\"service\":\"$2\",\"class\":\"$3\",\"query\":\"parcel\"}"
 }
 
@@ -113,11 +113,11 @@
 }
 
 document_serial() {
-    curl -s --max-time 2 "http://127.0.2.$1:8081/status" | jq .document_serial
+    curl -s --max-time 2 "http://$fleet_net.2.$1:8081/status" | jq .document_serial
 }
 
 document_digest() {
-    curl -s --max-time 2 "http://127.0.2.$1:8081/status" | jq -r .document_digest
+    curl -s --max-time 2 "http://$fleet_net.2.$1:8081/status" | jq -r .document_digest
 }
 
 # Publishes the document with another serial. Usage: publish_with_serial N [COMMENT]
--- a/Tests/process/run.sh
+++ b/Tests/process/run.sh
@@ -45,7 +45,7 @@
     id=$(issue_run_id 1 receipt-desk)
     fleet_signal entry-1 STOP
     body=$(run_body "$id" receipt-desk label 800)
-    first=$(curl -s --max-time 2 -X POST http://127.0.2.1:8080/v1/run -d "$body")
+    first=$(curl -s --max-time 2 -X POST http://$fleet_net.2.1:8080/v1/run -d "$body")
     fleet_signal entry-1 CONT
     sleep 2
     second=$(post_run 2 "$body")
@@ -76,7 +76,7 @@
     start_load queries counter-quote counter 60 10
     sleep 2
     curl -sf -o /dev/null --max-time 2 -X POST -d '{"silence_existing":true}' \
-        http://127.0.4.1:9790/control
+        http://$fleet_net.4.1:9790/control
     finish_load
     expect "queries without a complete answer" "$(incomplete_answers)" -eq 0
 }
@@ -87,7 +87,7 @@
     fleet_start "$document" 2 || return 1
     fleet_signal platform KILL
     fleet_entry 3 3 "${fleet_entry_lines[@]}"
-    fleet_wait http://127.0.2.3:8081/ready
+    fleet_wait http://$fleet_net.2.3:8081/ready
     expect "new entry is ready" "$?" -eq 0
     expect "complete answers of the new entry" "$(complete_queries 3 20)" -eq 20
     expect "serial at the new entry" "$(document_serial 3)" -eq 1
@@ -95,13 +95,13 @@
 
 # Guards against serving without any configuration.
 case_no_configuration() {
-    fleet_platform=127.0.3.9:9000
+    fleet_platform=$fleet_net.3.9:9000
     fleet_start_bare "$document"
     fleet_entry 1 1 "${fleet_entry_lines[@]}"
-    fleet_wait http://127.0.2.1:8081/live
+    fleet_wait http://$fleet_net.2.1:8081/live
     sleep 4
     expect "ready status" \
-        "$(curl -s -o /dev/null -w '%{http_code}' http://127.0.2.1:8081/ready)" -eq 503
+        "$(curl -s -o /dev/null -w '%{http_code}' http://$fleet_net.2.1:8081/ready)" -eq 503
     expect "refusals" "$(query 1 counter-quote counter | grep -c no_configuration)" -eq 1
 }
 
@@ -117,7 +117,7 @@
         fleet_join "entry-$number"
         expect "exit status of entry $number" "$?" -eq 0
         fleet_entry "$number" 3 "${fleet_entry_lines[@]}"
-        fleet_wait "http://127.0.2.$number:8081/ready"
+        fleet_wait "http://$fleet_net.2.$number:8081/ready"
         expect "serial after replacing entry $number" "$(document_serial "$number")" -eq 2
     done
     finish_load
