--- a/Tests/core/connection/upstream_state.cpp
+++ b/Tests/core/connection/upstream_state.cpp
@@ -1,6 +1,9 @@
 #include "core/connection/upstream_state.hpp"
 
+#include <atomic>
 #include <doctest/doctest.h>
+#include <latch>
+#include <thread>
 #include <vector>
 
 using namespace wisteriahatch;
@@ -117,3 +120,37 @@
     CHECK(replica.may_hold({19}));
     CHECK_FALSE(replica.may_hold({3}));
 }
+
+// Guards against a reader that takes a list being written for the loss of a
+// version, and against two writers that leave a mixture of their lists.
+TEST_CASE("concurrent version lists are never mixed")
+{
+    std::atomic<unsigned> lost{0};
+    unsigned mixed = 0;
+    for (int repetition = 0; repetition < 400; ++repetition)
+    {
+        upstream_state replica("a", "d", start);
+        std::latch ready(2);
+        std::vector<std::jthread> threads;
+        for (const std::uint64_t own : {1, 2})
+            threads.emplace_back(
+                [&, own]
+                {
+                    // Version 9 is in both lists, at different places.
+                    const std::vector<index_version> lists[] = {
+                        {{9}, {own}}, {{10 + own}, {9}, {own}}};
+                    ready.arrive_and_wait();
+                    for (int round = 0; round < 2000; ++round)
+                    {
+                        replica.set_versions(lists[round % 2]);
+                        lost += replica.may_hold({9}) ? 0 : 1;
+                    }
+                });
+        threads.clear();
+        const bool is_first = replica.may_hold({1});
+        mixed += is_first == replica.may_hold({2}) ? 1 : 0;
+        mixed += replica.may_hold({is_first ? 12U : 11U}) ? 1 : 0;
+    }
+    CHECK(lost == 0);
+    CHECK(mixed == 0);
+}
