--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -1,9 +1,9 @@
 #include "net/upstream_client.hpp"
 
-#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
+#include <vector>
 
 namespace wisteriahatch
 {
@@ -95,9 +95,7 @@
 
 void upstream_client::close_idle()
 {
-    for (const auto& connection : this->idle)
-        connection->close();
-    this->idle.clear();
+    this->idle.close_all();
 }
 
 void upstream_client::retire()
@@ -218,20 +216,8 @@
 {
     const auto oldest_heard =
         use == connection_use::fresh ? now() - fresh_time : time_point::min();
-    // The newest connection is taken first: when it turns out to be silent,
-    // every idle one is older and is closed with it. The others can reach
-    // their idle timeout.
-    for (auto place = this->idle.end(); place != this->idle.begin();)
-    {
-        --place;
-        if ((*place)->last_heard() < oldest_heard)
-            continue;
-        auto connection = std::move(*place);
-        place = this->idle.erase(place);
-        if (connection->is_reusable())
-            return connection;
-        connection->close();
-    }
+    if (auto connection = this->idle.take(oldest_heard))
+        return connection;
     this->limit_idle(std::max(1U, this->address.connection_share) - 1);
     return std::make_shared<upstream_connection>(
         this->worker, this->address.endpoint, ++this->opened);
@@ -249,31 +235,12 @@
         connection->close();
         return;
     }
-    const auto newer = std::ranges::find_if(
-        this->idle, [&connection](const connection_ptr& other)
-        { return other->number() > connection->number(); });
-    this->idle.insert(newer, connection);
+    this->idle.put(connection);
 }
 
 void upstream_client::limit_idle(std::size_t most)
 {
-    while (!this->idle.empty() && this->busy + this->idle.size() > most)
-    {
-        this->idle.front()->close();
-        this->idle.erase(this->idle.begin());
-    }
-}
-
-void upstream_client::close_idle_before(std::uint64_t number)
-{
-    std::erase_if(this->idle,
-                  [number](const connection_ptr& connection)
-                  {
-                      if (connection->number() >= number)
-                          return false;
-                      connection->close();
-                      return true;
-                  });
+    this->idle.limit(most > this->busy ? most - this->busy : 0);
 }
 
 void upstream_client::end_unsent(const task_ptr& task, error_kind kind,
@@ -315,7 +282,7 @@
     // The connections that were opened earlier went over the same path, and
     // may be just as silent; a request over each would be lost.
     if (exchange.was_silent)
-        this->close_idle_before(task->connection->number());
+        this->idle.close_before(task->connection->number());
     this->return_connection(task->connection);
     this->finished(task->id, std::move(exchange.outcome));
     this->apply(this->queue.finish(task->id, outcome, time - started, time));
@@ -365,7 +332,7 @@
 void upstream_client::set_timer()
 {
     auto expiry = this->queue.next_deadline().value_or(time_point::max());
-    if (!this->idle.empty())
+    if (!this->idle.is_empty())
         expiry = std::min(expiry, now() + idle_check_interval);
     // A timer that fires early costs less than one that is set at each call.
     if (expiry >= this->timer_expiry)
@@ -387,17 +354,9 @@
 {
     const bool is_leaving =
         this->address.is_leaving || this->address.state->is_draining();
-    const auto oldest_heard = now() - this->values.idle_timeout;
-    std::erase_if(this->idle,
-                  [is_leaving, oldest_heard](const connection_ptr& connection)
-                  {
-                      if (!is_leaving &&
-                          connection->last_heard() >= oldest_heard &&
-                          connection->is_reusable())
-                          return false;
-                      connection->close();
-                      return true;
-                  });
+    if (is_leaving)
+        this->idle.close_all();
+    this->idle.close_unusable(now() - this->values.idle_timeout);
     this->apply(this->queue.expire(now()));
 }
 
--- a/Libraries/net/upstream_client.hpp
+++ b/Libraries/net/upstream_client.hpp
@@ -2,6 +2,7 @@
 #define WISTERIAHATCH_NET_UPSTREAM_CLIENT_HPP
 
 #include "core/connection/upstream_queue.hpp"
+#include "net/idle_connections.hpp"
 #include "net/upstream_connection.hpp"
 #include "net/upstream_pool.hpp"
 
@@ -11,7 +12,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace wisteriahatch
 {
@@ -57,7 +57,7 @@
     void retire();
 
 private:
-    using connection_ptr = std::shared_ptr<upstream_connection>;
+    using connection_ptr = idle_connections::connection_ptr;
     using task_ptr = std::shared_ptr<upstream_task>;
 
     void apply(const upstream_queue::actions& actions);
@@ -71,7 +71,6 @@
     // Closes the oldest idle connections until at most `most` connections are
     // left, those in use included.
     void limit_idle(std::size_t most);
-    void close_idle_before(std::uint64_t number);
 
     // Ends a call of which no byte was sent.
     void end_unsent(const task_ptr& task, error_kind kind, std::string message);
@@ -97,8 +96,7 @@
     finish_handler finished;
     upstream_queue queue;
     std::map<call_id, task_ptr> tasks;
-    // In the order of opening.
-    std::vector<connection_ptr> idle;
+    idle_connections idle;
     // Connections in use or being opened.
     unsigned busy = 0;
     std::uint64_t opened = 0;
