load: Find non-idempotent requests that were executed twice

Outcomes alone cannot show a request that ran at two upstreams. The payload now carries the run id, by which the stand-ins count executions, and the driver reports and fails on ids that were executed more than once. The counters are also read from the stand-in's admin port, which answers for all its upstreams.

--- a/Programs/load/load_driver.cpp
+++ b/Programs/load/load_driver.cpp
@@ -232,10 +232,10 @@
                                                    reply.result.body)});
         co_return;
     }
-    auto run = std::make_shared<run_record>(
-        run_record{.run_id = run_id,
-                   .payload = "load-" + std::to_string(this->options.seed) +
-                              "-" + std::to_string(due.number)});
+    // Upstream stand-ins count executions by the run id in the payload.
+    auto run = std::make_shared<run_record>(run_record{
+        .run_id = run_id,
+        .payload = json::serialize(json::object{{"run_id", run_id}})});
     const bool is_repeated =
         std::bernoulli_distribution(this->options.repeat)(this->random);
     if (is_repeated)
--- a/Programs/load/load_report.cpp
+++ b/Programs/load/load_report.cpp
@@ -20,6 +20,7 @@
         needed == 0 ? 0 : static_cast<double>(work.searches_started) / needed;
     return {{"searches_started", work.searches_started},
             {"runs_started", work.runs_started},
+            {"runs_executed_twice", work.executed_twice()},
             {"needed", driver.needed()},
             {"load_ratio", ratio},
             {"queries_without_shard_count", driver.queries_without_shards()}};
--- a/Programs/load/main.cpp
+++ b/Programs/load/main.cpp
@@ -29,8 +29,8 @@
               "in mode runs, probability that a request is repeated through "
               "another entry");
 DEFINE_string(upstream_counters, "",
-              "addresses of all upstream stand-ins, to compute the extra "
-              "load");
+              "addresses of all upstream stand-ins or of their admin ports, to "
+              "compute the extra load and find requests executed twice");
 DEFINE_string(output, "text", "text (a table and a JSON line) or json");
 
 namespace
@@ -76,14 +76,12 @@
     driver.run();
     BOOST_OUTCOME_TRY(auto after,
                       read_upstream_counters(options.upstream_counters));
-    return upstream_work(upstream_counters{
-        .searches_started = after.searches_started - before.searches_started,
-        .runs_started = after.runs_started - before.runs_started});
+    return upstream_work(after.since(before));
 }
 
-int exit_status_of(const load_driver& driver)
+int exit_status_of(const load_driver& driver, const upstream_work& work)
 {
-    if (!driver.violations().empty())
+    if (!driver.violations().empty() || (work && work->executed_twice() > 0))
         return exit_violation;
     for (const class_report& report : driver.classes())
     {
@@ -119,7 +117,7 @@
     if (FLAGS_output == "text")
         std::cout << format_report(report);
     std::cout << boost::json::serialize(report) << '\n';
-    return exit_status_of(driver);
+    return exit_status_of(driver, work.value());
 }
 
 }
--- a/Programs/load/upstream_counters.cpp
+++ b/Programs/load/upstream_counters.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_client.hpp"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace wisteriahatch
@@ -10,6 +11,9 @@
 namespace
 {
 
+// Counters name every run since the stand-in's start.
+constexpr std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;
+
 // Returns 0 when the field is missing.
 std::uint64_t number_of(const boost::json::object& object, std::string_view key)
 {
@@ -19,6 +23,58 @@
     return value->to_number<std::uint64_t>();
 }
 
+// Adds the counters of one upstream.
+void add_upstream(upstream_counters& sum, const boost::json::object& counters)
+{
+    sum.searches_started += number_of(counters, "searches_started");
+    sum.runs_started += number_of(counters, "runs_started");
+    const boost::json::value* ids = counters.if_contains("run_ids");
+    if (ids == nullptr || !ids->is_object())
+        return;
+    for (const auto& member : ids->get_object())
+    {
+        sum.run_ids[std::string(std::string_view(member.key()))] +=
+            number_of(ids->get_object(), std::string_view(member.key()));
+    }
+}
+
+// An admin port answers with one object a name of an upstream.
+void add_reply(upstream_counters& sum, const boost::json::object& reply)
+{
+    if (reply.contains("searches_started"))
+    {
+        add_upstream(sum, reply);
+        return;
+    }
+    for (const auto& member : reply)
+    {
+        if (member.value().is_object())
+            add_upstream(sum, member.value().get_object());
+    }
+}
+
+}
+
+upstream_counters
+upstream_counters::since(const upstream_counters& before) const
+{
+    upstream_counters started{
+        .searches_started = this->searches_started - before.searches_started,
+        .runs_started = this->runs_started - before.runs_started};
+    for (const auto& [id, count] : this->run_ids)
+    {
+        const auto known = before.run_ids.find(id);
+        if (known == before.run_ids.end() || known->second < count)
+            started.run_ids.emplace(id, count);
+    }
+    return started;
+}
+
+std::uint64_t upstream_counters::executed_twice() const
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(this->run_ids.begin(), this->run_ids.end(),
+                      [](const auto& run) { return run.second > 1; }));
 }
 
 result<upstream_counters> read_upstream_counters(
@@ -27,8 +83,10 @@
     upstream_counters sum;
     for (const auto& upstream : upstreams)
     {
-        BOOST_OUTCOME_TRY(auto reply,
-                          fetch_blocking(upstream, {.target = "/counters"}));
+        BOOST_OUTCOME_TRY(
+            auto reply,
+            fetch_blocking(upstream, {.target = "/counters",
+                                      .max_reply_bytes = max_reply_bytes}));
         boost::json::error_code failure;
         const boost::json::value value =
             boost::json::parse(reply.body, failure);
@@ -39,9 +97,7 @@
                              ":" + std::to_string(upstream.port()) +
                              " is no JSON object; name upstream stand-ins"};
         }
-        const boost::json::object& counters = value.get_object();
-        sum.searches_started += number_of(counters, "searches_started");
-        sum.runs_started += number_of(counters, "runs_started");
+        add_reply(sum, value.get_object());
     }
     return sum;
 }
