--- a/Libraries/core/process/admission.hpp
+++ b/Libraries/core/process/admission.hpp
@@ -40,7 +40,7 @@
     struct options
     {
         unsigned min_limit = 2;
-        unsigned initial_limit = 32;
+        unsigned initial_limit = 4;
         unsigned max_limit = 1024;
     };
 
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -300,7 +300,12 @@
                              time_point time) const
 {
     const auto outcome = outcome_of(exchange);
-    if (outcome == call_outcome::success)
+    // A status probe is answered without work and would make a slow replica
+    // look fast.
+    const bool is_probe = task.call.body.empty();
+    if (is_probe && outcome == call_outcome::success)
+        task.state->record_cancel();
+    else if (outcome == call_outcome::success)
         task.state->record_success(exchange.outcome.value().latency, time);
     else if (exchange.outcome &&
              exchange.outcome.value().status == status_version_unavailable)
