core: Refuse waiting queries when half of their time is over

The old test named the old expiry of 30 ms; the new rule makes it exactly 25 ms, and a new test brings the collapse about.

--- a/Libraries/core/process/admission.cpp
+++ b/Libraries/core/process/admission.cpp
@@ -49,7 +49,7 @@
         return result;
     }
     if (!this->started.contains(id))
-        this->queue.insert(id, priority, deadline);
+        this->queue.insert(id, priority, this->latest_start(deadline, now));
     this->start_waiting(result);
     return result;
 }
@@ -86,10 +86,7 @@
 
 std::optional<time_point> admission::next_expiry() const
 {
-    const auto next = this->queue.next_deadline();
-    if (!next)
-        return std::nullopt;
-    return *next - this->median_latency();
+    return this->queue.next_deadline();
 }
 
 unsigned admission::limit() const
@@ -112,6 +109,12 @@
     return this->latencies.quantile(0.5, duration{0});
 }
 
+time_point admission::latest_start(time_point deadline, time_point now) const
+{
+    const auto half = now + (deadline - now) / 2;
+    return std::max(now, std::min(half, deadline - this->median_latency()));
+}
+
 bool admission::can_finish(unsigned priority, time_point deadline,
                            time_point now) const
 {
@@ -198,7 +201,7 @@
 {
     if (this->queue.size() == 0)
         return;
-    const auto late = this->queue.take_until(now + this->median_latency());
+    const auto late = this->queue.take_until(now);
     result.refused.insert(result.refused.end(), late.begin(), late.end());
 }
 
--- a/Libraries/core/process/admission.hpp
+++ b/Libraries/core/process/admission.hpp
@@ -87,7 +87,7 @@
     // Forgets a waiting or started query whose caller has gone.
     actions cancel(query_id id, time_point now);
     // Refuses the waiting queries that have less time left than the observed
-    // median latency.
+    // median latency, or than half of what they came with.
     actions expire(time_point now);
 
     // When to call expire() next.
@@ -99,6 +99,10 @@
 private:
     // 0 until enough queries were served.
     duration median_latency() const;
+    // When a query submitted now must have started. Without the bound of half
+    // its time, an overload in which no query is served leaves no median, every
+    // query starts at its deadline, and none is served again.
+    time_point latest_start(time_point deadline, time_point now) const;
     bool can_finish(unsigned priority, time_point deadline,
                     time_point now) const;
     void adapt(admission_outcome outcome, duration latency, bool was_full,
--- a/Programs/entry/query_api.cpp
+++ b/Programs/entry/query_api.cpp
@@ -26,15 +26,16 @@
                       : static_cast<double>(part) / static_cast<double>(whole);
 }
 
-// A query that used up its time and still lacks shards met an overload or a
-// fault; a complete one was served whatever its latency.
-admission_outcome outcome_of(time_point deadline, time_point ended,
-                             const query_answer& answer)
+// A query that needed more than three quarters of its time shows an overload
+// before queries miss their deadlines. The calm latency can't show it when the
+// process started under overload.
+admission_outcome outcome_of(time_point received, time_point deadline,
+                             time_point ended, const query_answer& answer)
 {
-    if (answer.is_complete)
-        return admission_outcome::served;
-    return ended >= deadline ? admission_outcome::overloaded
-                             : admission_outcome::other;
+    if (ended - received > (deadline - received) / 4 * 3)
+        return admission_outcome::overloaded;
+    return answer.is_complete ? admission_outcome::served
+                              : admission_outcome::other;
 }
 
 bool is_below_floor(const class_spec& caller_class, const query_answer& answer)
@@ -118,8 +119,9 @@
     const auto answer =
         co_await this->run(admitted.value(), request.is_peer_gone);
     const auto ended = clock_now();
-    gate.leave(place.id, outcome_of(admitted.value().deadline, ended, answer),
-               ended - started);
+    const auto outcome =
+        outcome_of(request.received, admitted.value().deadline, ended, answer);
+    gate.leave(place.id, outcome, ended - started);
     co_return this->reply_to(admitted.value(), request.received, answer);
 }
 
--- a/Tests/core/process/admission.cpp
+++ b/Tests/core/process/admission.cpp
@@ -74,7 +74,8 @@
           1);
     const auto expiry = gate.next_expiry();
     REQUIRE(expiry.has_value());
-    CHECK(*expiry > start + milliseconds(28));
+    // Half of its 50 ms comes before 50 ms less the median of 20 ms.
+    CHECK(*expiry == start + milliseconds(25));
     CHECK(gate.expire(*expiry - milliseconds(1)).refused.empty());
     CHECK(gate.expire(*expiry).refused == std::vector<query_id>{{3}});
     CHECK(gate.submit({5}, 0, start, start).refused.size() == 1);
@@ -82,6 +83,22 @@
     CHECK(gate.running() + gate.waiting() == 0);
 }
 
+// Guards against a collapse in which queries start when their time is nearly
+// over, none is served, and no median ever refuses one.
+TEST_CASE("a waiting query is refused when half its time is over")
+{
+    admission gate({.min_limit = 1, .initial_limit = 1, .max_limit = 1});
+    CHECK(gate.submit({1}, 0, start + milliseconds(100), start).start.size() ==
+          1);
+    CHECK(
+        gate.submit({2}, 0, start + milliseconds(100), start).refused.empty());
+    // The first used up half of its time; the second is not started any more.
+    const auto ended = gate.finish({1}, admission_outcome::overloaded,
+                                   milliseconds(50), start + milliseconds(50));
+    CHECK(ended.start.empty());
+    CHECK(ended.refused == std::vector<query_id>{{2}});
+}
+
 // Guards against a limit that ignores overload, leaves its bounds, or grows
 // while nobody uses it.
 TEST_CASE("the limit follows sheds and latency within its bounds")
