--- a/Tests/net/upstream_pool.cpp
+++ b/Tests/net/upstream_pool.cpp
@@ -283,3 +283,15 @@
     CHECK(this->received_count() == 1);
     CHECK(this->state->in_flight() == 0);
 }
+
+// Guards against handlers that run after their pool was destroyed, and against
+// connections that stay open.
+TEST_CASE_FIXTURE(pool_fixture, "a destroyed pool calls no handler")
+{
+    auto calls = this->hold(3);
+    this->pool.reset();
+    this->held.is_open = true;
+    CHECK(wait_until([&] { return this->upstream.connections().open == 0; }));
+    CHECK(wait_until([&] { return this->state->in_flight() == 0; }));
+    CHECK(this->handlers_called == 0);
+}
