core: Let each request meet another upstream in fleet fuzzing

Each request now meets its own behaviour, the harness keeps the pauses itself, commands follow each other closer, and work sent after its deadline breaks an invariant.

--- a/Tests/core/process/fleet.cpp
+++ b/Tests/core/process/fleet.cpp
@@ -162,7 +162,6 @@
 {
     if (!target.pauses->tick(this->now))
         return;
-    target.resumed_at = this->now;
     ++this->counts["pause"];
     this->perform(target, target.runs->seal_unsent(this->now));
     target.members->handle_pause(this->now);
@@ -232,6 +231,9 @@
     if (!target.is_up || !target.is_paused)
         return;
     target.is_paused = false;
+    // The last tick was up to 100 ms earlier.
+    if (this->now - target.paused_at > pause_detector::threshold)
+        target.resumed_at = this->now;
     auto late = std::exchange(target.backlog, {});
     std::ranges::shuffle(late, this->random);
     for (const auto& happens : late)
--- a/Tests/core/process/fleet.hpp
+++ b/Tests/core/process/fleet.hpp
@@ -51,6 +51,8 @@
     silent_started,
     answers_late,
     answers_twice,
+    // Each request meets another of the above.
+    mixed,
 };
 
 // One step of a case; the numbers choose instances, runs and times modulo what
@@ -111,6 +113,8 @@
         std::unique_ptr<document_store> documents;
         std::unique_ptr<pause_detector> pauses;
         bool has_list = false;
+        time_point paused_at;
+        // End of the last pause that was long enough to be noticed.
         time_point resumed_at;
         document_key last_key;
         std::uint64_t seen_generation = 0;
@@ -156,6 +160,8 @@
     void publish(std::uint64_t number, const std::string& marker);
     void publish(const std::string& text);
 
+    // The mode that the next request meets.
+    upstream_mode mode_now();
     void issue(const command& step);
     void arrive(unsigned slot, const std::string& label);
     void take(node& target, const std::string& label, const answer& reply);
@@ -188,7 +194,7 @@
     bool is_list_lagging = false;
     std::vector<std::string> list;
 
-    upstream_mode mode = upstream_mode::answers;
+    upstream_mode mode = upstream_mode::mixed;
     // By label; the label is also the payload.
     std::map<std::string, run_truth> runs;
     std::string broken;
--- a/Tests/core/process/fleet_case.hpp
+++ b/Tests/core/process/fleet_case.hpp
@@ -20,18 +20,24 @@
 {
     using enum command_kind;
     const std::vector<command_kind> kinds = {
-        submit,       submit,        submit,      submit,
-        resend,       resend,        resend,      kill,
-        replace,      replace,       pause,       wake,
-        wake,         split,         heal,        list_lags,
-        list_current, upstream,      upstream,    upstream,
-        service_down, service_stale, service_up,  service_up,
-        publish,      publish,       publish_old, publish_two_at_once};
+        submit,     submit,       submit,
+        submit,     submit,       submit,
+        submit,     submit,       resend,
+        resend,     resend,       resend,
+        kill,       replace,      replace,
+        pause,      pause,        wake,
+        wake,       split,        heal,
+        list_lags,  list_current, upstream,
+        upstream,   service_down, service_stale,
+        service_up, service_up,   publish,
+        publish,    publish_old,  publish_two_at_once};
     return rc::gen::build<command>(
         rc::gen::set(&command::kind, rc::gen::elementOf(kinds)),
         rc::gen::set(&command::first, rc::gen::inRange(0U, 64U)),
         rc::gen::set(&command::second, rc::gen::inRange(0U, 6000U)),
-        rc::gen::set(&command::wait_ms, rc::gen::inRange(0U, 2500U)));
+        rc::gen::set(&command::wait_ms,
+                     rc::gen::oneOf(rc::gen::inRange(0U, 200U),
+                                    rc::gen::inRange(0U, 2500U))));
 }
 
 // What cases have shown beyond success.
--- a/Tests/core/process/fleet_runs.cpp
+++ b/Tests/core/process/fleet_runs.cpp
@@ -1,5 +1,6 @@
 #include "core/process/fleet.hpp"
 
+#include <algorithm>
 #include <array>
 #include <ostream>
 
@@ -38,6 +39,8 @@
         this->start(step.first % slots);
         break;
     case command_kind::pause:
+        if (target.is_up && !target.is_paused)
+            target.paused_at = this->now;
         target.is_paused = target.is_up;
         break;
     case command_kind::wake:
@@ -81,7 +84,8 @@
                 : this->published[step.first % this->published.size()]);
         break;
     case command_kind::upstream:
-        this->mode = static_cast<upstream_mode>(step.first % 8);
+        this->mode = static_cast<upstream_mode>(std::min(
+            step.first % 16, static_cast<unsigned>(upstream_mode::mixed)));
         break;
     }
     this->advance(std::chrono::milliseconds(step.wait_ms));
@@ -217,9 +221,17 @@
     }
 }
 
+upstream_mode fleet::mode_now()
+{
+    if (this->mode != upstream_mode::mixed)
+        return this->mode;
+    return static_cast<upstream_mode>(
+        this->random_below(static_cast<unsigned>(upstream_mode::mixed)));
+}
+
 void fleet::try_send(node& from, const dispatch_run& action, time_point queued)
 {
-    if (this->mode == upstream_mode::refuses_connections ||
+    if (this->mode_now() == upstream_mode::refuses_connections ||
         !from.runs->confirm_send(action.id, action.attempt, this->now))
     {
         this->perform(from, from.runs->handle_failure(action.id, action.attempt,
@@ -227,6 +239,8 @@
                                                       this->now));
         return;
     }
+    if (this->now >= action.deadline)
+        this->break_invariant("work was sent after its deadline");
     // A retry is new work; it may start while the pause settles.
     if (action.attempt == 1 &&
         queued < from.resumed_at + pause_detector::settling)
@@ -252,20 +266,21 @@
 void fleet::reach_upstream(unsigned slot, std::uint64_t nonce,
                            const dispatch_run& action)
 {
-    const bool is_shed = this->mode == upstream_mode::sheds ||
-                         this->mode == upstream_mode::sheds_twice;
-    if (this->mode == upstream_mode::silent_unstarted)
+    const auto met = this->mode_now();
+    const bool is_shed =
+        met == upstream_mode::sheds || met == upstream_mode::sheds_twice;
+    if (met == upstream_mode::silent_unstarted)
         return;
     if (!is_shed)
         this->execute(action.payload);
-    if (this->mode == upstream_mode::silent_started || this->happens(5))
+    if (met == upstream_mode::silent_started || this->happens(5))
         return;
-    const bool is_twice = this->mode == upstream_mode::sheds_twice ||
-                          this->mode == upstream_mode::answers_twice;
+    const bool is_twice = met == upstream_mode::sheds_twice ||
+                          met == upstream_mode::answers_twice;
     for (int copy = 0; copy < (is_twice ? 2 : 1); ++copy)
     {
         auto delay = this->network_delay();
-        if (this->mode == upstream_mode::answers_late || copy == 1)
+        if (met == upstream_mode::answers_late || copy == 1)
             delay += std::chrono::milliseconds(this->random_below(6000));
         this->at(delay, slot, nonce,
                  [this, action, is_shed](node& sender)
