bench: Measure the platform's instance list

Every instance reads the whole list after each change, so its size decides what the list costs a node. The measure counts bytes, memory and instructions of decoding.

--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -65,6 +65,10 @@
 
 stage_document() {
     measure fleet_document 25080
+    for size in 90 1000 30000; do
+        measure directory "$size"
+        instructions platform directory_decode "$size" 2
+    done
     for size in 10000 100000 300000 1000000; do
         measure document "$size"
         for part in document_check document_diff document_apply; do
--- a/Programs/bench/main.cpp
+++ b/Programs/bench/main.cpp
@@ -7,12 +7,12 @@
 #include <map>
 #include <string>
 
-DEFINE_string(
-    measure, "",
-    "what to measure: churn, document, document_apply, document_check, "
-    "document_diff, exchange, fleet_document, "
-    "owner_moves, ownership, query, "
-    "query_wire, quiet, rpc or spread");
+DEFINE_string(measure, "",
+              "what to measure: churn, directory, directory_decode, document, "
+              "document_apply, document_check, "
+              "document_diff, exchange, fleet_document, "
+              "owner_moves, ownership, query, "
+              "query_wire, quiet, rpc or spread");
 DEFINE_uint64(size, 9, "members, bytes or shards");
 DEFINE_uint64(iterations, 1,
               "repetitions of measures whose cost is counted from outside");
@@ -25,6 +25,8 @@
 
 const std::map<std::string, std::function<figures(const bench_options&)>>
     measures{{"churn", measure_churn},
+             {"directory", measure_directory},
+             {"directory_decode", measure_directory_decode},
              {"document", measure_document},
              {"document_apply", measure_document_apply},
              {"document_check", measure_document_check},
--- /dev/null
+++ b/Programs/bench/measure_directory.cpp
@@ -0,0 +1,60 @@
+#include "core/process/directory.hpp"
+#include "measures.hpp"
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+constexpr const char* role = "platform";
+
+// One entry instance to five upstreams, about as at the two-year size.
+constexpr std::size_t instances_per_entry = 6;
+
+directory make_directory(std::size_t instances)
+{
+    directory list{.revision = 1};
+    for (std::size_t at = 0; at < instances; ++at)
+    {
+        const bool is_entry = at % instances_per_entry == 0;
+        const std::string host = "10." + std::to_string(at / 62500) + "." +
+                                 std::to_string(at / 250 % 250) + "." +
+                                 std::to_string(at % 250);
+        list.instances.push_back(
+            {.name = (is_entry ? "entry-" : "server-") + std::to_string(at),
+             .role = is_entry ? instance_role::entry : instance_role::upstream,
+             .address = host + ":8080",
+             .peer_address = is_entry ? host + ":8082" : "",
+             .failure_domain = "fd-" + std::to_string(at % 23)});
+    }
+    return list;
+}
+
+}
+
+figures measure_directory(const bench_options& options)
+{
+    const std::string text = encode_directory(make_directory(options.size));
+    const std::size_t before = allocated_bytes();
+    const auto decoded = decode_directory(text);
+    return {{role, "directory_instances", options.size,
+             static_cast<double>(decoded.value().instances.size()),
+             "instances"},
+            {role, "directory_text", options.size,
+             static_cast<double>(text.size()), "bytes"},
+            {role, "directory_memory", options.size,
+             static_cast<double>(allocated_bytes() - before), "bytes"}};
+}
+
+figures measure_directory_decode(const bench_options& options)
+{
+    const std::string text = encode_directory(make_directory(options.size));
+    std::size_t decoded = 0;
+    for (std::size_t at = 0; at < options.iterations; ++at)
+        decoded += decode_directory(text).value().instances.size();
+    return {{role, "instances_decoded", options.size,
+             static_cast<double>(decoded), "instances"}};
+}
+
+}
--- a/Programs/bench/measures.hpp
+++ b/Programs/bench/measures.hpp
@@ -45,6 +45,12 @@
 // Decodes and applies a delta; its cost is counted from outside. Size: bytes.
 figures measure_document_apply(const bench_options& options);
 
+// Bytes and memory of the platform's instance list. Size: instances.
+figures measure_directory(const bench_options& options);
+
+// Decodes an instance list; its cost is counted from outside. Size: instances.
+figures measure_directory_decode(const bench_options& options);
+
 // Queries over groups of 3 replicas with 10 rows a shard, without I/O: memory
 // in flight; the cost is counted from outside. Size: shards.
 figures measure_query(const bench_options& options);
