--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -53,7 +53,7 @@
 }
 
 stage_churn() {
-    for size in 100 1000; do measure churn "$size"; done
+    for size in 100 1000 2500; do measure churn "$size"; done
 }
 
 stage_ownership() {
