--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -11,6 +11,8 @@
 table=docs/capacity.csv
 sizes="${SIZES:-9 100 1000 5000}"
 [ -x "$bench" ] || { echo "build first: Meta/build.sh" >&2; exit 1; }
+command -v valgrind >/dev/null ||
+    { echo "valgrind is missing: apt-get install -y valgrind" >&2; exit 1; }
 [ -f "$table" ] || echo "role,measure,size,value,unit,command" >"$table"
 
 # Replaces the table's rows that end with the command by the rows read.
