docs: Add spread figures of four seeds at 1,000 members

One seed cannot show how far the time to the last member varies. The script repeats them, and the plots keep to seed 1.

--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -24,10 +24,11 @@
     echo "$rows"
 }
 
-# measure NAME SIZE: runs one measure of the bench program.
+# measure NAME SIZE [SEED]: runs one measure of the bench program.
 measure() {
-    "$bench" --measure="$1" --size="$2" --seed=1 |
-        replace_rows "wisteriahatch-bench --measure=$1 --size=$2 --seed=1"
+    local arguments=("--measure=$1" "--size=$2" "--seed=${3:-1}")
+    "$bench" "${arguments[@]}" |
+        replace_rows "wisteriahatch-bench ${arguments[*]}"
 }
 
 # Instructions that valgrind counts for a run with so many iterations.
@@ -50,6 +51,7 @@
 
 stage_spread() {
     for size in $sizes; do measure spread "$size"; done
+    for seed in 2 3 4; do measure spread 1000 "$seed"; done
     for size in 9 100; do measure quiet "$size"; done
     for size in 9 100 1000 5000; do instructions entry exchange "$size" 20; done
 }
@@ -92,9 +94,9 @@
     done
 }
 
-# rows MEASURE: size and value of a measure, for gnuplot.
+# rows MEASURE: size and value of a measure with seed 1, for gnuplot.
 rows() {
-    awk -F, -v measure="$1" '$2 == measure { print $3, $4 }' "$table" | sort -n
+    awk -F, -v measure="$1" '$2 == measure && /--seed=1$/ { print $3, $4 }' "$table" | sort -n
 }
 
 stage_plots() {
