--- a/Meta/capacity.sh
+++ b/Meta/capacity.sh
@@ -11,6 +11,8 @@
 table=docs/capacity.csv
 sizes="${SIZES:-9 100 1000 5000}"
 [ -x "$bench" ] || { echo "build first: Meta/build.sh" >&2; exit 1; }
+command -v valgrind >/dev/null ||
+    { echo "valgrind is missing: apt-get install -y valgrind" >&2; exit 1; }
 [ -f "$table" ] || echo "role,measure,size,value,unit,command" >"$table"
 
 # Replaces the table's rows that end with the command by the rows read.
@@ -22,10 +24,11 @@
     echo "$rows"
 }
 
-# measure NAME SIZE: runs one measure of the bench program.
+# measure NAME SIZE [SEED]: runs one measure of the bench program.
 measure() {
-    "$bench" --measure="$1" --size="$2" --seed=1 |
-        replace_rows "wisteriahatch-bench --measure=$1 --size=$2 --seed=1"
+    local arguments=("--measure=$1" "--size=$2" "--seed=${3:-1}")
+    "$bench" "${arguments[@]}" |
+        replace_rows "wisteriahatch-bench ${arguments[*]}"
 }
 
 # Instructions that valgrind counts for a run with so many iterations.
@@ -48,12 +51,13 @@
 
 stage_spread() {
     for size in $sizes; do measure spread "$size"; done
+    for seed in 2 3 4; do measure spread 1000 "$seed"; done
     for size in 9 100; do measure quiet "$size"; done
     for size in 9 100 1000 5000; do instructions entry exchange "$size" 20; done
 }
 
 stage_churn() {
-    for size in 100 1000; do measure churn "$size"; done
+    for size in 100 1000 2500; do measure churn "$size"; done
 }
 
 stage_ownership() {
@@ -65,6 +69,10 @@
 
 stage_document() {
     measure fleet_document 25080
+    for size in 90 1000 30000; do
+        measure directory "$size"
+        instructions platform directory_decode "$size" 2
+    done
     for size in 10000 100000 300000 1000000; do
         measure document "$size"
         for part in document_check document_diff document_apply; do
@@ -86,9 +94,9 @@
     done
 }
 
-# rows MEASURE: size and value of a measure, for gnuplot.
+# rows MEASURE: size and value of a measure with seed 1, for gnuplot.
 rows() {
-    awk -F, -v measure="$1" '$2 == measure { print $3, $4 }' "$table" | sort -n
+    awk -F, -v measure="$1" '$2 == measure && /--seed=1$/ { print $3, $4 }' "$table" | sort -n
 }
 
 stage_plots() {
