entry: Make replicas with wrong content look slow, seal late arrivals explicitly

The pool records every status 200 as a success, so a replica that answers fast with another request's id, shard or version looked best and drew more work. Its reply now counts as a latency of 2 s. Ejecting it was ruled out for now: ejection counts transport failures, and a second count would end an attempt twice. Runs that arrive in the settling time after a pause use submit_sealed.

--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -33,8 +33,6 @@
 # works on 9 sub-requests at once, so the service can answer 450 queries/s.
 service=counter-quote
 class=counter
-fleet_upstream_flags=(--latency_ms=20 --latency_model=exponential --workers=2)
-
 # Replica names, as a JSON array, whose field FIELD of fleet_replicas matches
 # an awk condition over its fields.
 replicas_where() {
@@ -95,7 +93,6 @@
 # Half of the replicas move to the next index version during the run, then the
 # others.
 scenario_version_change() {
-    fleet_control "$service" "$(replicas_where 1)" "{\"versions\":{\"$service\":[1]}}"
     (
         sleep 8
         fleet_control "$service" "$(replicas_where 1)" "{\"versions\":{\"$service\":[1,2]}}"
@@ -108,11 +105,24 @@
 }
 
 echo "label,scenario,class,entries,rate_s,requests,p50_ms,p99_ms,p99.9_ms,goodput_ratio,complete_ratio,load_ratio,cut,errors"
+# The example document with a second index version, repartitioned from 10
+# shards to 12.
+source_document=$(mktemp)
+{
+    cat Examples/blue_mahoe.ini
+    printf '\n[index counter-quote/2]\nshards = '
+    seq 0 11 | awk '{ printf "%st%02d@%02d", (NR == 1 ? "" : ", "), $1, $1 % 10 } END { print "" }'
+} >"$source_document"
+
 for scenario in "$@"; do
-    fleet_start "${fleet_source:-Examples/blue_mahoe.ini}" "$entries" || exit 1
+    # Until the scenario says otherwise every replica holds version 1 only.
+    fleet_upstream_flags=(--latency_ms=20 --latency_model=exponential --workers=2
+        --versions="counter-quote=1")
+    fleet_start "$source_document" "$entries" || exit 1
     report=$("scenario_$scenario")
     offered="$rate"
     [ "$scenario" = overload ] && offered=675
     print_line "$scenario" "$offered" "$report"
     fleet_stop
 done
+rm -f "$source_document"
--- a/Programs/entry/query_session.cpp
+++ b/Programs/entry/query_session.cpp
@@ -15,6 +15,9 @@
 namespace asio = boost::asio;
 
 constexpr unsigned status_ok = 200;
+// Latency that a reply with the wrong content counts as: the pool sees only a
+// fast reply with status 200, and a wrong replica must not look fast.
+constexpr std::chrono::seconds bad_content_penalty{2};
 constexpr unsigned status_version_unavailable = 409;
 constexpr unsigned status_shed = 503;
 
@@ -38,6 +41,7 @@
     : chosen(std::move(values))
     , service_name(this->chosen.query.service->name)
     , priority(this->chosen.query.caller_class->priority)
+    , replicas(this->chosen.query.upstreams)
     , decisions(std::move(this->chosen.query))
     , timer(*this->chosen.worker)
     , finished(*this->chosen.worker, time_point::max())
@@ -78,6 +82,7 @@
     if (action.needs_new_connection)
         call.use = connection_use::unused;
     const auto attempt = action.attempt;
+    this->sent.emplace(attempt, action);
     this->calls[attempt] = this->chosen.upstreams->start(
         std::move(call),
         [self = this->shared_from_this(), attempt](upstream_result outcome)
@@ -139,13 +144,26 @@
     auto reply = decode_search_reply(outcome.value().body);
     if (!reply)
     {
+        this->record_bad_content(attempt);
         this->fail_attempt(attempt, reply.error().kind);
         return;
     }
+    const auto& sent = this->sent.at(attempt);
+    if (reply.value().request_id != sent.wire_request_id ||
+        reply.value().shard != sent.shard ||
+        reply.value().version != sent.version)
+        this->record_bad_content(attempt);
     this->apply(this->decisions.handle_reply(attempt, std::move(reply.value()),
                                              clock_now()));
 }
 
+void query_session::record_bad_content(attempt_id attempt)
+{
+    const auto found = this->replicas->find(this->sent.at(attempt).replica);
+    if (found != this->replicas->end())
+        found->second->record_unanswered(bad_content_penalty, clock_now());
+}
+
 void query_session::fail_attempt(attempt_id attempt, error_kind kind)
 {
     this->chosen.measures->count_upstream_failure(this->service_name,
--- a/Programs/entry/query_session.hpp
+++ b/Programs/entry/query_session.hpp
@@ -43,17 +43,22 @@
     void act(const set_timer& action);
     void act(finish_query& action);
     void finish_attempt(attempt_id attempt, upstream_result outcome);
+    // A reply that is malformed or belongs to another request, shard or
+    // version says that the replica is faulty.
+    void record_bad_content(attempt_id attempt);
     void fail_attempt(attempt_id attempt, error_kind kind);
 
     options chosen;
     // Kept apart from `chosen.query`, whose content moves into the query.
     std::string service_name;
     unsigned priority = 0;
+    upstream_table_ptr replicas;
     query decisions;
     boost::asio::steady_timer timer;
     // Expires never; cancelled when the query has ended.
     boost::asio::steady_timer finished;
     std::map<attempt_id, upstream_call_id> calls;
+    std::map<attempt_id, send_attempt> sent;
     query_answer answer;
     bool has_answer = false;
 };
--- a/Programs/entry/run_service.cpp
+++ b/Programs/entry/run_service.cpp
@@ -253,10 +253,6 @@
 {
     const auto now = clock_now();
     const auto started = now;
-    // After a pause nobody knows how long the request waited in a socket
-    // buffer, so an unsent one is sealed instead of being run late.
-    if (this->chosen.pauses->is_suspect(now))
-        submission.deadline = now;
     submission.waiter = this->next_waiter++;
     const auto token = submission.waiter;
     auto waiting = std::make_shared<waiter>(
@@ -268,7 +264,11 @@
     std::vector<run_action> actions;
     {
         const std::lock_guard lock(this->registry_mutex);
-        actions = this->registry.submit(submission, now);
+        // After a pause nobody knows how long the request waited in a socket
+        // buffer, so an unsent one is sealed instead of being run late.
+        actions = this->chosen.pauses->is_suspect(now)
+                      ? this->registry.submit_sealed(submission, now)
+                      : this->registry.submit(submission, now);
     }
     this->apply(actions);
     while (!waiting->has_answer)
