--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -300,16 +300,17 @@
                              time_point time) const
 {
     const auto outcome = outcome_of(exchange);
+    const bool is_success = outcome == call_outcome::success;
     // A status probe is answered without work and would make a slow replica
     // look fast.
-    const bool is_probe = task.call.body.empty();
-    if (is_probe && outcome == call_outcome::success)
+    const bool is_answered_probe = is_success && task.call.body.empty();
+    const bool is_refused_version =
+        exchange.outcome &&
+        exchange.outcome.value().status == status_version_unavailable;
+    if (is_answered_probe || is_refused_version)
         task.state->record_cancel();
-    else if (outcome == call_outcome::success)
+    else if (is_success)
         task.state->record_success(exchange.outcome.value().latency, time);
-    else if (exchange.outcome &&
-             exchange.outcome.value().status == status_version_unavailable)
-        task.state->record_cancel();
     else
         task.state->record_failure(this->values.attempt_timeout, time);
 }
--- a/Programs/entry/query_api.cpp
+++ b/Programs/entry/query_api.cpp
@@ -122,6 +122,9 @@
     const auto outcome =
         outcome_of(request.received, admitted.value().deadline, ended, answer);
     gate.leave(place.id, outcome, ended - started);
+    // Nobody reads the reply, and an abandoned query has no coverage to count.
+    if (request.is_peer_gone != nullptr && *request.is_peer_gone)
+        co_return http_reply{};
     co_return this->reply_to(admitted.value(), request.received, answer);
 }
 
--- a/Programs/entry/query_session.cpp
+++ b/Programs/entry/query_session.cpp
@@ -144,20 +144,28 @@
     auto reply = decode_search_reply(outcome.value().body);
     if (!reply)
     {
-        this->record_bad_content(attempt);
+        this->penalise(attempt);
         this->fail_attempt(attempt, reply.error().kind);
         return;
     }
     const auto& sent = this->sent.at(attempt);
     if (reply.value().request_id != sent.wire_request_id ||
-        reply.value().shard != sent.shard ||
-        reply.value().version != sent.version)
-        this->record_bad_content(attempt);
+        reply.value().shard != sent.shard)
+        this->report_wrong_content(attempt, error_kind::wrong_request_id);
+    else if (reply.value().version != sent.version)
+        this->report_wrong_content(attempt, error_kind::wrong_version);
     this->apply(this->decisions.handle_reply(attempt, std::move(reply.value()),
                                              clock_now()));
 }
 
-void query_session::record_bad_content(attempt_id attempt)
+void query_session::report_wrong_content(attempt_id attempt, error_kind kind)
+{
+    this->penalise(attempt);
+    this->chosen.measures->count_upstream_failure(this->service_name,
+                                                  to_string(kind));
+}
+
+void query_session::penalise(attempt_id attempt)
 {
     const auto found = this->replicas->find(this->sent.at(attempt).replica);
     if (found != this->replicas->end())
--- a/Programs/entry/query_session.hpp
+++ b/Programs/entry/query_session.hpp
@@ -43,9 +43,11 @@
     void act(const set_timer& action);
     void act(finish_query& action);
     void finish_attempt(attempt_id attempt, upstream_result outcome);
-    // A reply that is malformed or belongs to another request, shard or
-    // version says that the replica is faulty.
-    void record_bad_content(attempt_id attempt);
+    // Counts a reply that belongs to another request, shard or version; the
+    // query itself turns it into a failure of the attempt.
+    void report_wrong_content(attempt_id attempt, error_kind kind);
+    // Makes the attempt's replica look slow.
+    void penalise(attempt_id attempt);
     void fail_attempt(attempt_id attempt, error_kind kind);
 
     options chosen;
