Tests: Keep RC_ASSERT away from the value of a refused message

The sanitizer run of test-core stopped in 'damaged messages never crash the decoders': RC_ASSERT captures its expression with an overloaded ||, which evaluates both sides, so the test read the value of a result that held an error. The condition is now evaluated before the macro sees it; it is as strict as before. The decoders were not at fault.

--- a/Tests/core/process/gossip_codec.cpp
+++ b/Tests/core/process/gossip_codec.cpp
@@ -116,7 +116,11 @@
                 text[position % text.size()] = byte;
             text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
             const auto read = decode_gossip(text);
-            RC_ASSERT(!read || read.value().records.size() <= 3);
+            // RC_ASSERT evaluates both sides of ||, so that it must not see
+            // the value of a message that was refused.
+            const bool is_refused_or_short =
+                !read || read.value().records.size() <= 3;
+            RC_ASSERT(is_refused_or_short);
             (void)decode_document_request(text);
             (void)decode_document_transfer(text);
         },
