Tests: Fail a process test whose programs logged a sanitizer report

A leak or an error at shutdown changes no count, so a case passed in spite of it and its logs were removed. After the programs have stopped, each case now expects no sanitizer report in any log. Collecting reports with log_path was tried first: libubsan ignores it when libasan is loaded too (a trial program's overflow went to standard error, its leak to the file).

--- a/Tests/process/checks.sh
+++ b/Tests/process/checks.sh
@@ -13,6 +13,7 @@
     fleet_platform=""
     "case_$1" || checks_failed=$((checks_failed + 1))
     fleet_stop
+    expect "programs with a sanitizer report" "$(sanitizer_reports)" -eq 0
     if [ "$checks_failed" -eq 0 ]; then
         cases_passed=$((cases_passed + 1))
         echo "passed: $1"
@@ -23,6 +24,13 @@
     fi
 }
 
+# Log files of the case that hold a report of a sanitizer. A leak or an error at
+# shutdown shows only there.
+sanitizer_reports() {
+    grep -lE 'runtime error:|ERROR: [A-Za-z]+Sanitizer|WARNING: ThreadSanitizer' \
+        "$fleet_work"/*.log | grep -c .
+}
+
 # Usage: expect WHAT ACTUAL OPERATOR EXPECTED, with an operator of test(1).
 expect() {
     if ! [ "$2" "$3" "$4" ]; then
