--- a/Tests/process/run.sh
+++ b/Tests/process/run.sh
@@ -7,6 +7,7 @@
 fleet_bin="${WISTERIAHATCH_BIN:-$PWD/Build/bin}"
 . Meta/fleet.sh
 . Tests/process/checks.sh
+. Tests/process/malformed_input.sh
 trap fleet_stop EXIT
 
 document=Examples/blue_mahoe.ini
@@ -161,7 +162,7 @@
 
 all_cases=(kill_entry kill_upstreams pause_entry stop_entry silent_connections
     platform_down_at_start no_configuration rolling_replacement operators_race
-    leaving_upstream)
+    leaving_upstream malformed_requests malformed_replies)
 [ "$#" -gt 0 ] || set -- "${all_cases[@]}"
 for name in "$@"; do
     run_case "$name"
