core: Do not relay member records learned by repair

Ruled out: a lower relay limit, which would slow real news down. Records from a repair are now stored as already relayed; whoever lacks them repairs its own table.

--- a/Libraries/core/process/member_table.cpp
+++ b/Libraries/core/process/member_table.cpp
@@ -42,7 +42,8 @@
                                         .until = time_point::max()};
 }
 
-void member_table::merge(const member_record& record, time_point now)
+void member_table::merge(const member_record& record, record_origin origin,
+                         time_point now)
 {
     if (record.epoch > max_epoch)
         return;
@@ -54,14 +55,14 @@
         if (record.state == member_state::dead ||
             this->entries.size() >= this->chosen.max_members)
             return;
-        this->replace(this->entries[record.address], record, now);
+        this->replace(this->entries[record.address], record, origin, now);
         return;
     }
     auto& known = found->second;
     if (record.address != this->own_address)
     {
         if (takes_precedence(record, known.record))
-            this->replace(known, record, now);
+            this->replace(known, record, origin, now);
         return;
     }
     // Another incarnation of this address, or a suspicion against this one:
@@ -77,7 +78,7 @@
 
 void member_table::merge_sender(const member_record& sender, time_point now)
 {
-    this->merge(without_document(sender), now);
+    this->merge(without_document(sender), record_origin::news, now);
     const auto found = this->entries.find(sender.address);
     if (found == this->entries.end() || sender.address == this->own_address ||
         found->second.record.nonce != sender.nonce)
@@ -100,7 +101,7 @@
     {
         auto record = known.record;
         record.state = member_state::suspect;
-        this->replace(known, record, now);
+        this->replace(known, record, record_origin::news, now);
     }
     else if (known.record.state == member_state::leaving)
     {
@@ -122,7 +123,7 @@
             continue;
         auto record = known.record;
         record.state = member_state::dead;
-        this->replace(known, record, now);
+        this->replace(known, record, record_origin::news, now);
     }
 }
 
@@ -229,7 +230,7 @@
                                                    std::size_t room,
                                                    std::mt19937_64& random)
 {
-    const unsigned limit = news_factor * std::bit_width(this->size());
+    const unsigned limit = this->news_limit();
     std::vector<entry*> news;
     for (auto& [address, known] : this->entries)
     {
@@ -263,13 +264,20 @@
     return records;
 }
 
+unsigned member_table::news_limit() const
+{
+    return news_factor * std::bit_width(this->size());
+}
+
 void member_table::replace(entry& known, const member_record& record,
-                           time_point now)
+                           record_origin origin, time_point now)
 {
     auto document = known.record.nonce == record.nonce ? known.record.document
                                                        : document_key{};
     known = {.record = record, .until = time_point::max()};
     known.record.document = std::move(document);
+    if (origin == record_origin::repair)
+        known.times_sent = this->news_limit();
     if (record.state == member_state::suspect)
         known.until = now + this->suspicion_time();
     else if (record.state == member_state::dead)
--- a/Libraries/core/process/member_table.hpp
+++ b/Libraries/core/process/member_table.hpp
@@ -14,6 +14,17 @@
 namespace wisteriahatch
 {
 
+// How a record reached this instance.
+enum class record_origin : std::uint8_t
+{
+    // Recent news, which is relayed further.
+    news,
+    // The repair of a bucket. Not relayed: a joining instance learns the whole
+    // table so, and in a fleet of 5,000 relaying it kept messages full for
+    // hours.
+    repair,
+};
+
 // The records of all members, this instance's included, with the rules by
 // which one record replaces another and suspects become dead.
 class member_table
@@ -34,7 +45,8 @@
     member_table(member_record self, options values);
 
     // Takes what another instance says of a member.
-    void merge(const member_record& record, time_point now);
+    void merge(const member_record& record, record_origin origin,
+               time_point now);
     // Takes the record that a member sent of itself.
     void merge_sender(const member_record& sender, time_point now);
     // The member did not answer.
@@ -83,7 +95,10 @@
     };
 
     // Replaces a record and sets what follows from its state.
-    void replace(entry& known, const member_record& record, time_point now);
+    void replace(entry& known, const member_record& record,
+                 record_origin origin, time_point now);
+    // Messages that carry a record before it is no longer news.
+    unsigned news_limit() const;
     duration suspicion_time() const;
 
     options chosen;
--- a/Libraries/core/process/membership.cpp
+++ b/Libraries/core/process/membership.cpp
@@ -176,8 +176,10 @@
 void membership::merge(const gossip_message& message, time_point now)
 {
     this->table.merge_sender(message.sender, now);
+    const auto origin =
+        message.bucket ? record_origin::repair : record_origin::news;
     for (const auto& record : message.records)
-        this->table.merge(record, now);
+        this->table.merge(record, origin, now);
 }
 
 std::optional<std::string> membership::choose_target()
