bench: Measure restarts in a fleet whose old records are settled

Before, each member started with a table of news that it relayed during the whole measurement, so that the churn rows showed the start and not the restarts.

--- a/Programs/bench/fleet_simulation.cpp
+++ b/Programs/bench/fleet_simulation.cpp
@@ -67,12 +67,16 @@
     }
 };
 
-fleet_simulation::fleet_simulation(std::size_t members, std::uint64_t seed)
+fleet_simulation::fleet_simulation(std::size_t members, std::uint64_t seed,
+                                   initial_records initial)
     : random(seed)
     , now(std::chrono::hours(1))
     , check(make_shared_checker())
 {
     gossip_message everyone;
+    // Records of a bucket's repair are not relayed.
+    if (initial == initial_records::settled)
+        everyone.bucket = 0;
     for (std::size_t at = 0; at < members; ++at)
     {
         this->nodes.push_back(this->make_node(at, first_epoch));
--- a/Programs/bench/fleet_simulation.hpp
+++ b/Programs/bench/fleet_simulation.hpp
@@ -28,6 +28,15 @@
     std::uint64_t most_sent = 0;
 };
 
+// What the members think of the records they start with.
+enum class initial_records : std::uint8_t
+{
+    // Recent news that each member still relays.
+    news,
+    // Known for long and no longer relayed.
+    settled,
+};
+
 // Membership and document stores of many instances in one process, joined by
 // messages that are delivered after a fixed latency in virtual time.
 class fleet_simulation
@@ -37,7 +46,8 @@
     static constexpr std::chrono::microseconds latency{500};
 
     // Every instance knows every other one and has no document.
-    fleet_simulation(std::size_t members, std::uint64_t seed);
+    fleet_simulation(std::size_t members, std::uint64_t seed,
+                     initial_records initial = initial_records::news);
     ~fleet_simulation();
 
     // Delivers what is due until `span` has passed.
--- a/Programs/bench/measure_fleet.cpp
+++ b/Programs/bench/measure_fleet.cpp
@@ -110,7 +110,7 @@
         std::chrono::duration<double>(86400 / restarts_a_day));
     figures found;
     const std::size_t members = options.size;
-    fleet_simulation fleet(members, options.seed);
+    fleet_simulation fleet(members, options.seed, initial_records::settled);
     fleet.publish(make_document_of_size(10'000, 1), members, publish_limit);
     fleet.run_for(settle);
     fleet.reset_traffic();
