--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -135,6 +135,7 @@
         printf "caller_address = $fleet_net.2.%s:8080\n" "$number"
         printf "admin_address = $fleet_net.2.%s:8081\n" "$number"
         printf "peer_address = $fleet_net.2.%s:8082\n" "$number"
+        printf 'workers = %s\n' "${fleet_workers:-2}"
         printf '[platform]\naddress = %s\n' "${fleet_platform:-$platform}"
         printf '[peers]\nseeds = %s\n' "$seeds"
         printf '%s\n' "$@"
--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -3,7 +3,9 @@
 # on loopback. Prints one CSV line a run.
 # Usage: measure.sh [--entries N] [--lines "SETTINGS_LINE;..."] [--label TEXT]
 #                   [--rate QUERIES_PER_S] [--seconds S] [--seed N] SCENARIO...
-# Scenarios: calm, straggler, domain_lost, overload, version_change, replace.
+#                   [--workers N] [--latency_ms MS] [--latency_model MODEL]
+# Scenarios: calm, straggler, domain_lost, overload, overload_classes,
+# version_change, one_shard.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 fleet_bin="${fleet_bin:-$PWD/Build/bin}"
@@ -15,6 +17,8 @@
 seconds=20
 seed=1
 label=default
+latency_ms=20
+latency_model=exponential
 fleet_entry_lines=()
 while [ "${1#--}" != "$1" ]; do
     case "$1" in
@@ -22,6 +26,9 @@
     --rate) rate="$2" ;;
     --seconds) seconds="$2" ;;
     --seed) seed="$2" ;;
+    --workers) fleet_workers="$2" ;;
+    --latency_ms) latency_ms="$2" ;;
+    --latency_model) latency_model="$2" ;;
     --label) label="$2" ;;
     --lines) IFS=';' read -r -a fleet_entry_lines <<<"$2" ;;
     *) echo "unknown option $1; see the head of this script" >&2 && exit 2 ;;
@@ -47,14 +54,15 @@
     admins=$(seq -f "$fleet_net.2.%.0f:8081" "$entries" | paste -sd, -)
     counters=$(awk -F'|' -v s="$service" '$1 == s { print $6 }' "$fleet_work/replicas" | paste -sd, -)
     "$fleet_bin/wisteriahatch-load" --entries="$callers" --admin_ports="$admins" \
-        --service="$service" --rate="$class:$1:800" --duration_s="$2" --warmup_s=4 \
+        --service="$service" --rate="${class_rates:-$class:$1:800}" --duration_s="$2" --warmup_s=4 \
         --seed="$seed" --connections=512 --upstream_counters="$counters" --output=json |
         tail -1
 }
 
-# Prints the CSV line of a load report. Usage: print_line SCENARIO RATE REPORT
+# Prints the CSV line of a load report.
+# Usage: print_line SCENARIO RATE REPORT ENTRY_PROCESSOR_MS
 print_line() {
-    jq -r --arg label_text "$label" --arg scenario "$1" --arg rate "$2" --arg entries "$entries" '
+    jq -r --arg label_text "$label" --arg scenario "$1" --arg rate "$2" --arg entries "$entries" --argjson cpu "$4" '
         .classes as $classes | .upstreams as $up |
         $classes | to_entries[] | .value as $c |
         [$label_text, $scenario, .key, $entries, $rate, $c.requests,
@@ -64,9 +72,18 @@
          ($c.goodput_ratio * 1000 | round / 1000),
          ($c.complete_ratio * 1000 | round / 1000),
          ($up.load_ratio * 1000 | round / 1000), $c.cut,
+         ($cpu * 1000 / ($up.searches_started + 1) | round),
          ($c.errors | tojson)] | @csv' <<<"$3"
 }
 
+# Processor time of all entry instances so far, in milliseconds.
+entry_processor_ms() {
+    local name
+    for name in "${!fleet_pids[@]}"; do
+        [ "${name#entry-}" = "$name" ] || cat "/proc/${fleet_pids[$name]}/stat"
+    done | awk -v hertz="$(getconf CLK_TCK)" '{ sum += $14 + $15 } END { print sum * 1000 / hertz }'
+}
+
 scenario_calm() {
     run_load "$rate" "$seconds"
 }
@@ -90,6 +107,16 @@
     run_load 675 "$seconds"
 }
 
+# The same, half of it with the lowest priority.
+scenario_overload_classes() {
+    class_rates="counter:337:800,counter-low:337:800" run_load 675 "$seconds"
+}
+
+# A service of one shard, whose latency is the service time and the tier's own.
+scenario_one_shard() {
+    service=vendor-portal class_rates="vendor-account:$rate:800" run_load "$rate" "$seconds"
+}
+
 # Half of the replicas move to the next index version during the run, then the
 # others.
 scenario_version_change() {
@@ -104,25 +131,27 @@
     wait "$changer"
 }
 
-echo "label,scenario,class,entries,rate_s,requests,p50_ms,p99_ms,p99.9_ms,goodput_ratio,complete_ratio,load_ratio,cut,errors"
+echo "label,scenario,class,entries,rate_s,requests,p50_ms,p99_ms,p99.9_ms,goodput_ratio,complete_ratio,load_ratio,cut,entry_us_per_subrequest,errors"
 # The example document with a second index version, in which every shard has
 # moved to the next group. Ten shards as before keep the groups' load equal.
 source_document=$(mktemp)
 {
     cat Examples/blue_mahoe.ini
+    printf '\n[class counter-low]\nservice = counter-quote\ndeadline_ms = 800\n'
+    printf 'priority = 3\nhedge_budget_percent = 5\nidempotent = yes\n'
     printf '\n[index counter-quote/2]\nshards = '
     seq 0 9 | awk '{ printf "%st%02d@%02d", (NR == 1 ? "" : ", "), $1, ($1 + 1) % 10 } END { print "" }'
 } >"$source_document"
 
 for scenario in "$@"; do
     # Until the scenario says otherwise every replica holds version 1 only.
-    fleet_upstream_flags=(--latency_ms=20 --latency_model=exponential --workers=2
-        --versions="counter-quote=1")
+    fleet_upstream_flags=(--latency_ms="$latency_ms" --latency_model="$latency_model"
+        --workers=2 --versions="counter-quote=1")
     fleet_start "$source_document" "$entries" || exit 1
     report=$("scenario_$scenario")
     offered="$rate"
     [ "$scenario" = overload ] && offered=675
-    print_line "$scenario" "$offered" "$report"
+    print_line "$scenario" "$offered" "$report" "$(entry_processor_ms)"
     fleet_stop
 done
 rm -f "$source_document"
