entry: Order admitted sub-requests by deadline alone

Cause: admission already applies the priority of a class, and the upstreams' queues applied it again, strictly, so that admitted queries of a low priority waited until their deadline and their finished sub-requests were wasted.

--- a/Programs/entry/query_session.cpp
+++ b/Programs/entry/query_session.cpp
@@ -40,7 +40,6 @@
 query_session::query_session(options values)
     : chosen(std::move(values))
     , service_name(this->chosen.query.service->name)
-    , priority(this->chosen.query.caller_class->priority)
     , replicas(this->chosen.query.upstreams)
     , decisions(std::move(this->chosen.query))
     , timer(*this->chosen.worker)
@@ -77,7 +76,6 @@
     call.body = encode_search(action, this->service_name,
                               this->chosen.query_text, remaining);
     call.deadline = action.deadline;
-    call.priority = this->priority;
     call.first_byte_timeout = action.first_byte_timeout;
     if (action.needs_new_connection)
         call.use = connection_use::unused;
--- a/Programs/entry/query_session.hpp
+++ b/Programs/entry/query_session.hpp
@@ -53,7 +53,6 @@
     options chosen;
     // Kept apart from `chosen.query`, whose content moves into the query.
     std::string service_name;
-    unsigned priority = 0;
     upstream_table_ptr replicas;
     query decisions;
     boost::asio::steady_timer timer;
