--- a/Tests/process/checks.sh
+++ b/Tests/process/checks.sh
@@ -83,6 +83,11 @@
         jq --arg id "$2" '[.[].runs[$id] // 0] | add'
 }
 
+refused_connections() {
+    curl -s --max-time 5 "http://$(fleet_admin "$1")/counters" |
+        jq '[.[].connections_refused] | add'
+}
+
 searches_started() {
     curl -s --max-time 5 "http://$(fleet_admin "$1")/counters" |
         jq --arg name "$2" '.[$name].searches_started'
--- a/Tests/process/run.sh
+++ b/Tests/process/run.sh
@@ -160,9 +160,30 @@
     expect "queries without a complete answer" "$(incomplete_answers)" -eq 0
 }
 
+# Guards against instances that together open more connections than a server
+# accepts, also while killed ones are replaced.
+case_connection_limit() {
+    local number limited
+    limited=$(mktemp)
+    sed 's/^connections = .*/connections = 6/; s/^max_entry_instances = .*/max_entry_instances = 6/' \
+        "$document" >"$limited"
+    fleet_start "$limited" 3 || return 1
+    start_load queries counter-quote counter 60 9
+    for number in 1 2 3; do
+        sleep 1
+        fleet_signal "entry-$number" KILL
+        fleet_join "entry-$number" 2>/dev/null
+        fleet_entry "$number" 3 "${fleet_entry_lines[@]}"
+        fleet_wait "http://$fleet_net.2.$number:8081/ready"
+    done
+    finish_load
+    expect "connections refused by upstreams" "$(refused_connections counter-quote)" -eq 0
+    rm -f "$limited"
+}
+
 all_cases=(kill_entry kill_upstreams pause_entry stop_entry silent_connections
     platform_down_at_start no_configuration rolling_replacement operators_race
-    leaving_upstream malformed_requests malformed_replies)
+    leaving_upstream connection_limit malformed_requests malformed_replies)
 [ "$#" -gt 0 ] || set -- "${all_cases[@]}"
 for name in "$@"; do
     run_case "$name"
