--- a/Libraries/net/http_client.cpp
+++ b/Libraries/net/http_client.cpp
@@ -15,31 +15,30 @@
 namespace
 {
 
-// Names an endpoint in an error message.
-std::string text_of(const tcp::endpoint& endpoint)
-{
-    return endpoint.address().to_string() + ":" +
-           std::to_string(endpoint.port());
-}
-
 // Turns an error while sending or reading into a typed error.
 error make_exchange_error(const tcp::endpoint& server,
                           const error_code& failure)
 {
     if (failure == beast::error::timeout)
         return {error_kind::upstream_timeout,
-                text_of(server) + " did not answer in time"};
+                format_endpoint(server) + " did not answer in time"};
     if (failure == http::error::body_limit)
         return {error_kind::reply_too_large,
-                "the reply of " + text_of(server) +
+                "the reply of " + format_endpoint(server) +
                     " exceeds the limit; raise it or ask for less"};
     return {error_kind::truncated_reply,
-            "the reply of " + text_of(server) +
+            "the reply of " + format_endpoint(server) +
                 " broke off: " + failure.message()};
 }
 
 }
 
+std::string format_endpoint(const boost::asio::ip::tcp::endpoint& endpoint)
+{
+    return endpoint.address().to_string() + ":" +
+           std::to_string(endpoint.port());
+}
+
 result<tcp::endpoint> parse_endpoint(std::string_view text)
 {
     const error malformed{error_kind::invalid_settings,
@@ -74,14 +73,14 @@
     co_await stream.async_connect(server, store_error(failure));
     if (failure)
         co_return error{error_kind::connect_failed,
-                        "connecting to " + text_of(server) +
+                        "connecting to " + format_endpoint(server) +
                             " failed: " + failure.message()};
 
     http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, text_of(server));
+    message.set(http::field::host, format_endpoint(server));
     message.set(http::field::connection, "close");
     message.body() = std::move(request.body);
     message.prepare_payload();
@@ -123,7 +122,7 @@
     if (reply)
         return *std::move(reply);
     return error{error_kind::internal,
-                 "the request to " + text_of(server) + " ended early"};
+                 "the request to " + format_endpoint(server) + " ended early"};
 }
 
 }
--- a/Libraries/net/http_client.hpp
+++ b/Libraries/net/http_client.hpp
@@ -35,6 +35,9 @@
 // Parses "IP:port"; invalid_settings names the expected form.
 result<boost::asio::ip::tcp::endpoint> parse_endpoint(std::string_view text);
 
+// Returns "IP:port", which parse_endpoint reads.
+std::string format_endpoint(const boost::asio::ip::tcp::endpoint& endpoint);
+
 // Sends one request over a new connection. Errors: connect_failed,
 // upstream_timeout, truncated_reply, reply_too_large.
 boost::asio::awaitable<result<http_client_reply>>
--- a/Libraries/net/http_server.cpp
+++ b/Libraries/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.hpp"
 
 #include "net/beast.hpp"
+#include "net/http_client.hpp"
 #include "net/http_session.hpp"
 
 #include <algorithm>
@@ -68,9 +69,9 @@
             listener->non_blocking(true, failure);
         if (failure)
             return error{error_kind::connect_failed,
-                         "listening on " + wanted.address().to_string() + ":" +
-                             std::to_string(wanted.port()) + " failed: " +
-                             failure.message() + "; choose a free address"};
+                         "listening on " + format_endpoint(wanted) +
+                             " failed: " + failure.message() +
+                             "; choose a free address"};
         this->bound = listener->local_endpoint();
         this->acceptor = listener;
         asio::co_spawn(this->workers.at(0),
--- a/Libraries/net/upstream_connection.cpp
+++ b/Libraries/net/upstream_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/upstream_connection.hpp"
 
+#include "net/http_client.hpp"
 #include <boost/json/parse.hpp>
 #include <charconv>
 #include <string_view>
@@ -203,8 +204,7 @@
 upstream_exchange
 upstream_connection::make_failure(const error_code& failure) const
 {
-    const auto name = this->endpoint.address().to_string() + ":" +
-                      std::to_string(this->endpoint.port());
+    const auto name = format_endpoint(this->endpoint);
     upstream_failure ended;
     ended.was_sent = true;
     if (failure == beast::error::timeout)
--- a/Programs/entry/admin_api.cpp
+++ b/Programs/entry/admin_api.cpp
@@ -1,6 +1,7 @@
 #include "admin_api.hpp"
 
 #include "core/request/wire.hpp"
+#include "net/http_client.hpp"
 
 #include <algorithm>
 #include <array>
@@ -94,9 +95,7 @@
     object["name"] = this->chosen.values->name;
     object["environment"] = this->chosen.values->environment;
     object["failure_domain"] = this->chosen.values->failure_domain;
-    object["address"] =
-        this->chosen.values->peer_address.address().to_string() + ":" +
-        std::to_string(this->chosen.values->peer_address.port());
+    object["address"] = format_endpoint(this->chosen.values->peer_address);
     object["ready"] = this->chosen.control->is_ready();
     if (current != nullptr)
     {
--- a/Programs/entry/admission_gate.cpp
+++ b/Programs/entry/admission_gate.cpp
@@ -1,5 +1,6 @@
 #include "admission_gate.hpp"
 
+#include "clock.hpp"
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -12,11 +13,6 @@
 
 namespace asio = boost::asio;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 }
 
 admission_gate::admission_gate(asio::io_context& worker)
--- a/Programs/entry/control_loop.cpp
+++ b/Programs/entry/control_loop.cpp
@@ -1,5 +1,6 @@
 #include "control_loop.hpp"
 
+#include "clock.hpp"
 #include "core/process/gossip_codec.hpp"
 #include "net/http_client.hpp"
 #include "telemetry/log.hpp"
@@ -31,11 +32,6 @@
 constexpr std::chrono::milliseconds directory_retry{500};
 constexpr unsigned status_ok = 200;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::uint64_t random_seed()
 {
     std::random_device seeds;
@@ -51,16 +47,10 @@
             .count());
 }
 
-std::string text_of(const asio::ip::tcp::endpoint& endpoint)
-{
-    return endpoint.address().to_string() + ":" +
-           std::to_string(endpoint.port());
-}
-
 document_store::options store_options(const settings& values)
 {
     document_store::options chosen;
-    chosen.instance = text_of(values.peer_address);
+    chosen.instance = format_endpoint(values.peer_address);
     chosen.environment = values.environment;
     return chosen;
 }
@@ -68,7 +58,7 @@
 membership::options member_options(const settings& values, incarnation self)
 {
     membership::options chosen;
-    chosen.self.address = text_of(values.peer_address);
+    chosen.self.address = format_endpoint(values.peer_address);
     chosen.self.failure_domain = values.failure_domain;
     chosen.self.nonce = self;
     chosen.self.epoch = wall_clock_milliseconds();
@@ -372,7 +362,7 @@
     }
     std::sort(known.begin(), known.end());
     known.erase(std::unique(known.begin(), known.end()), known.end());
-    std::erase(known, text_of(this->chosen.values->peer_address));
+    std::erase(known, format_endpoint(this->chosen.values->peer_address));
     return known;
 }
 
--- a/Programs/entry/entry_process.cpp
+++ b/Programs/entry/entry_process.cpp
@@ -1,6 +1,7 @@
 #include "entry_process.hpp"
 
 #include "core/request/wire.hpp"
+#include "net/http_client.hpp"
 #include "telemetry/log.hpp"
 
 #include <algorithm>
@@ -37,12 +38,6 @@
     return {(std::uint64_t{source()} << 32U) | source()};
 }
 
-std::string text_of(const asio::ip::tcp::endpoint& endpoint)
-{
-    return endpoint.address().to_string() + ":" +
-           std::to_string(endpoint.port());
-}
-
 http_reply not_found(std::string_view known)
 {
     http_reply reply;
@@ -90,7 +85,7 @@
           .upstreams = &this->upstreams,
           .measures = &this->measures,
           .pauses = &this->pauses,
-          .registry = {.instance = text_of(this->values.peer_address),
+          .registry = {.instance = format_endpoint(this->values.peer_address),
                        .self = this->self},
           .failure_domain = this->values.failure_domain})
     , prober(status_prober::options{.workers = &this->workers,
@@ -131,8 +126,8 @@
     asio::post(this->control_worker.at(0), [this] { this->control.start(); });
     log_event(log_level::info, "started",
               {{"name", this->values.name},
-               {"callers", text_of(this->values.caller_address)},
-               {"peers", text_of(this->values.peer_address)}});
+               {"callers", format_endpoint(this->values.caller_address)},
+               {"peers", format_endpoint(this->values.peer_address)}});
     this->wait_for_signal();
     this->drain();
     return boost::outcome_v2::success();
--- a/Programs/entry/query_api.cpp
+++ b/Programs/entry/query_api.cpp
@@ -1,5 +1,6 @@
 #include "query_api.hpp"
 
+#include "clock.hpp"
 #include "query_session.hpp"
 #include "telemetry/log.hpp"
 
@@ -15,11 +16,6 @@
 
 namespace asio = boost::asio;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 double ratio(std::size_t part, std::size_t whole)
 {
     return whole == 0 ? 1.0
--- a/Programs/entry/query_session.cpp
+++ b/Programs/entry/query_session.cpp
@@ -1,5 +1,6 @@
 #include "query_session.hpp"
 
+#include "clock.hpp"
 #include "core/request/wire.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -21,11 +22,6 @@
 constexpr unsigned status_version_unavailable = 409;
 constexpr unsigned status_shed = 503;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 error_kind failure_of_status(unsigned status)
 {
     if (status == status_version_unavailable)
--- a/Programs/entry/run_service.cpp
+++ b/Programs/entry/run_service.cpp
@@ -1,5 +1,6 @@
 #include "run_service.hpp"
 
+#include "clock.hpp"
 #include "net/http_client.hpp"
 #include "rpc/peer_rpc.hpp"
 #include "telemetry/log.hpp"
@@ -28,11 +29,6 @@
 constexpr std::chrono::milliseconds timer_period{20};
 constexpr unsigned status_ok = 200;
 
-time_point clock_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::chrono::milliseconds remaining_until(time_point deadline)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
--- a/Programs/load/keep_alive_client.cpp
+++ b/Programs/load/keep_alive_client.cpp
@@ -1,5 +1,7 @@
 #include "keep_alive_client.hpp"
 
+#include "net/http_client.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -213,8 +215,7 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, request.server.address().to_string() + ":" +
-                                       std::to_string(request.server.port()));
+    message.set(http::field::host, format_endpoint(request.server));
     message.set(http::field::content_type, "application/json");
     message.body() = std::move(request.body);
     message.prepare_payload();
--- a/Tests/process/run.sh
+++ b/Tests/process/run.sh
@@ -167,8 +167,10 @@
     limited=$(mktemp)
     sed 's/^connections = .*/connections = 6/; s/^max_entry_instances = .*/max_entry_instances = 6/' \
         "$document" >"$limited"
+    # Slow enough that ten requests a server are under way, were they allowed.
+    local fleet_upstream_flags=(--latency_ms=200)
     fleet_start "$limited" 3 || return 1
-    start_load queries counter-quote counter 60 9
+    start_load queries counter-quote counter 150 9
     for number in 1 2 3; do
         sleep 1
         fleet_signal "entry-$number" KILL
