--- a/Programs/entry/control_loop.cpp
+++ b/Programs/entry/control_loop.cpp
@@ -1,6 +1,7 @@
 #include "control_loop.hpp"
 
 #include "clock.hpp"
+#include "control_options.hpp"
 #include "core/process/gossip_codec.hpp"
 #include "net/http_client.hpp"
 #include "telemetry/log.hpp"
@@ -12,7 +13,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
-#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -32,40 +32,6 @@
 constexpr std::chrono::milliseconds directory_retry{500};
 constexpr unsigned status_ok = 200;
 
-std::uint64_t random_seed()
-{
-    std::random_device seeds;
-    return (std::uint64_t{seeds()} << 32U) | seeds();
-}
-
-std::uint64_t wall_clock_milliseconds()
-{
-    const auto since_epoch =
-        std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
-            .count());
-}
-
-document_store::options store_options(const settings& values)
-{
-    document_store::options chosen;
-    chosen.instance = format_endpoint(values.peer_address);
-    chosen.environment = values.environment;
-    return chosen;
-}
-
-membership::options member_options(const settings& values, incarnation self)
-{
-    membership::options chosen;
-    chosen.self.address = format_endpoint(values.peer_address);
-    chosen.self.failure_domain = values.failure_domain;
-    chosen.self.nonce = self;
-    chosen.self.epoch = wall_clock_milliseconds();
-    chosen.seeds = values.seeds;
-    return chosen;
-}
-
 http_client_request read_request(const std::string& path, std::uint64_t after,
                                  std::chrono::milliseconds wait)
 {
--- a/Programs/entry/run_service.cpp
+++ b/Programs/entry/run_service.cpp
@@ -1,8 +1,7 @@
 #include "run_service.hpp"
 
 #include "clock.hpp"
-#include "net/http_client.hpp"
-#include "rpc/peer_rpc.hpp"
+#include "owner_client.hpp"
 #include "telemetry/log.hpp"
 
 #include <algorithm>
@@ -29,12 +28,6 @@
 constexpr std::chrono::milliseconds timer_period{20};
 constexpr unsigned status_ok = 200;
 
-std::chrono::milliseconds remaining_until(time_point deadline)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline -
-                                                                 clock_now());
-}
-
 // What an upstream's answer, or its absence, proves about a run.
 struct run_evidence
 {
@@ -66,43 +59,6 @@
     return evidence;
 }
 
-// Blocks until the owner answered; unknown when it can't be asked.
-run_answer ask_owner(const run_request& request, const run_id& id,
-                     time_point deadline)
-{
-    const auto remaining = remaining_until(deadline);
-    const auto owner = parse_endpoint(id.instance);
-    if (!owner || remaining <= std::chrono::milliseconds::zero())
-        return {};
-    run_request forwarded = request;
-    forwarded.deadline = remaining;
-    const auto transport = [&](const std::string& message)
-    {
-        http_client_request post;
-        post.method = "POST";
-        post.target = "/rpc/run";
-        post.body = message;
-        post.timeout = remaining;
-        auto reply = fetch_blocking(owner.value(), post);
-        if (!reply)
-            throw std::runtime_error(reply.error().message);
-        return reply.value().body;
-    };
-    try
-    {
-        const auto text =
-            call_peer(transport, "run.forward", encode_run_request(forwarded));
-        auto answer = decode_run_answer(text);
-        return answer ? std::move(answer.value()) : run_answer{};
-    }
-    catch (const std::runtime_error& failure)
-    {
-        log_event(log_level::warning, "run_forward_failed",
-                  {{"run_id", request.run_id}, {"reason", failure.what()}});
-        return {};
-    }
-}
-
 }
 
 run_service::run_service(options values)
