entry: Keep one record for each call, and check service and class in one place

A query kept two maps by attempt and copied each action, which holds four strings, on the request path; one map now takes the action over. Handlers of the upstream pool are always posted, so that a call is recorded before it can end. The lookup of view, service and deadline stood in query_api and twice in run_service. Ruled out: taking the comparison of a reply out of the session, because the query has no access to the pool's accounting.

--- a/Programs/entry/query_api.cpp
+++ b/Programs/entry/query_api.cpp
@@ -133,19 +133,12 @@
     admitted_query admitted;
     BOOST_OUTCOME_TRY(admitted.request, decode_query_request(request.body));
     auto& context = (*this->chosen.contexts)[worker_pool::current()];
-    admitted.view = context.view.current();
-    if (admitted.view == nullptr)
-        return error{error_kind::no_configuration,
-                     "this instance has no document yet; send the query to "
-                     "another instance or wait until /ready is 200"};
-    const auto& document = *admitted.view->configuration;
-    admitted.service = document.find_service(admitted.request.service);
-    if (admitted.service == nullptr)
-        return error{error_kind::unknown_service,
-                     "the document has no service \"" +
-                         admitted.request.service +
-                         "\"; use one of its [service] sections"};
-    admitted.caller_class = document.find_class(admitted.request.caller_class);
+    BOOST_OUTCOME_TRY(admitted.view, require_view(context.view));
+    BOOST_OUTCOME_TRY(
+        admitted.service,
+        require_service(*admitted.view, admitted.request.service));
+    admitted.caller_class =
+        admitted.view->configuration->find_class(admitted.request.caller_class);
     if (admitted.caller_class == nullptr ||
         admitted.caller_class->service != admitted.request.service)
         return error{error_kind::unknown_class,
@@ -158,10 +151,8 @@
                          "\" is non-idempotent; send it with POST /v1/run"};
     admitted.shared =
         admitted.view->services.find(admitted.request.service)->second.get();
-    const auto allowed = admitted.caller_class->deadline;
-    admitted.deadline =
-        request.received +
-        std::min(admitted.request.deadline.value_or(allowed), allowed);
+    admitted.deadline = deadline_of(*admitted.caller_class, request.received,
+                                    admitted.request.deadline);
     if (admitted.request.request_id.empty())
         admitted.request.request_id = std::to_string(context.random());
     return admitted;
--- a/Programs/entry/query_session.cpp
+++ b/Programs/entry/query_session.cpp
@@ -61,7 +61,7 @@
         std::visit([this](auto& each) { this->act(each); }, action);
 }
 
-void query_session::act(const send_attempt& action)
+void query_session::act(send_attempt& action)
 {
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(action.deadline -
@@ -76,11 +76,11 @@
     if (action.needs_new_connection)
         call.use = connection_use::unused;
     const auto attempt = action.attempt;
-    this->sent.emplace(attempt, action);
-    this->calls[attempt] = this->chosen.upstreams->start(
+    const auto id = this->chosen.upstreams->start(
         std::move(call),
         [self = this->shared_from_this(), attempt](upstream_result outcome)
         { self->finish_attempt(attempt, std::move(outcome)); });
+    this->calls.emplace(attempt, running_call{id, std::move(action)});
 }
 
 void query_session::act(const cancel_attempt& action)
@@ -88,7 +88,7 @@
     const auto found = this->calls.find(action.attempt);
     if (found == this->calls.end())
         return;
-    this->chosen.upstreams->cancel(found->second);
+    this->chosen.upstreams->cancel(found->second.id);
     this->calls.erase(found);
 }
 
@@ -122,9 +122,10 @@
 
 void query_session::finish_attempt(attempt_id attempt, upstream_result outcome)
 {
-    this->calls.erase(attempt);
-    if (this->has_answer)
+    const auto ended = this->calls.extract(attempt);
+    if (this->has_answer || ended.empty())
         return;
+    const auto& sent = ended.mapped().sent;
     if (!outcome)
     {
         this->fail_attempt(attempt, outcome.error().kind);
@@ -138,30 +139,30 @@
     auto reply = decode_search_reply(outcome.value().body);
     if (!reply)
     {
-        this->penalise(attempt);
+        this->penalise(sent.replica);
         this->fail_attempt(attempt, reply.error().kind);
         return;
     }
-    const auto& sent = this->sent.at(attempt);
     if (reply.value().request_id != sent.wire_request_id ||
         reply.value().shard != sent.shard)
-        this->report_wrong_content(attempt, error_kind::wrong_request_id);
+        this->report_wrong_content(sent.replica, error_kind::wrong_request_id);
     else if (reply.value().version != sent.version)
-        this->report_wrong_content(attempt, error_kind::wrong_version);
+        this->report_wrong_content(sent.replica, error_kind::wrong_version);
     this->apply(this->decisions.handle_reply(attempt, std::move(reply.value()),
                                              clock_now()));
 }
 
-void query_session::report_wrong_content(attempt_id attempt, error_kind kind)
+void query_session::report_wrong_content(const std::string& replica,
+                                         error_kind kind)
 {
-    this->penalise(attempt);
+    this->penalise(replica);
     this->chosen.measures->count_upstream_failure(this->service_name,
                                                   to_string(kind));
 }
 
-void query_session::penalise(attempt_id attempt)
+void query_session::penalise(const std::string& replica)
 {
-    const auto found = this->replicas->find(this->sent.at(attempt).replica);
+    const auto found = this->replicas->find(replica);
     if (found != this->replicas->end())
         found->second->record_unanswered(bad_content_penalty, clock_now());
 }
--- a/Programs/entry/query_session.hpp
+++ b/Programs/entry/query_session.hpp
@@ -37,17 +37,25 @@
     boost::asio::awaitable<query_answer> run();
 
 private:
+    // A call without an end yet, and what it asked for.
+    struct running_call
+    {
+        upstream_call_id id;
+        send_attempt sent;
+    };
+
     void apply(std::vector<query_action> actions);
-    void act(const send_attempt& action);
+    // Keeps the action's content for the comparison with the reply.
+    void act(send_attempt& action);
     void act(const cancel_attempt& action);
     void act(const set_timer& action);
     void act(finish_query& action);
     void finish_attempt(attempt_id attempt, upstream_result outcome);
     // Counts a reply that belongs to another request, shard or version; the
     // query itself turns it into a failure of the attempt.
-    void report_wrong_content(attempt_id attempt, error_kind kind);
-    // Makes the attempt's replica look slow.
-    void penalise(attempt_id attempt);
+    void report_wrong_content(const std::string& replica, error_kind kind);
+    // Makes the replica look slow.
+    void penalise(const std::string& replica);
     void fail_attempt(attempt_id attempt, error_kind kind);
 
     options chosen;
@@ -58,8 +66,7 @@
     boost::asio::steady_timer timer;
     // Expires never; cancelled when the query has ended.
     boost::asio::steady_timer finished;
-    std::map<attempt_id, upstream_call_id> calls;
-    std::map<attempt_id, send_attempt> sent;
+    std::map<attempt_id, running_call> calls;
     query_answer answer;
     bool has_answer = false;
 };
--- a/Programs/entry/run_service.cpp
+++ b/Programs/entry/run_service.cpp
@@ -85,15 +85,12 @@
 asio::awaitable<result<std::string>> run_service::issue(std::string service)
 {
     auto& context = (*this->chosen.contexts)[worker_pool::current()];
-    const auto view = context.view.current();
-    if (view == nullptr)
-        co_return error{error_kind::no_configuration,
-                        "this instance has no document yet; ask another "
-                        "instance or wait until /ready is 200"};
-    if (view->configuration->find_service(service) == nullptr)
-        co_return error{error_kind::unknown_service,
-                        "the document has no service \"" + service +
-                            "\"; use one of its [service] sections"};
+    const auto view = require_view(context.view);
+    if (!view)
+        co_return view.error();
+    const auto known = require_service(*view.value(), service);
+    if (!known)
+        co_return known.error();
     const std::lock_guard lock(this->registry_mutex);
     auto issued = this->registry.issue(clock_now());
     if (!issued)
@@ -111,16 +108,8 @@
                                           const run_id& id, time_point received)
 {
     auto& context = (*this->chosen.contexts)[worker_pool::current()];
-    const auto view = context.view.current();
-    if (view == nullptr)
-        return error{error_kind::no_configuration,
-                     "this instance has no document yet; repeat the request "
-                     "with the same run id"};
-    const auto* service = view->configuration->find_service(request.service);
-    if (service == nullptr)
-        return error{error_kind::unknown_service,
-                     "the document has no service \"" + request.service +
-                         "\"; use one of its [service] sections"};
+    BOOST_OUTCOME_TRY(const auto view, require_view(context.view));
+    BOOST_OUTCOME_TRY(require_service(*view, request.service));
     const auto* caller_class =
         view->configuration->find_class(request.caller_class);
     if (caller_class == nullptr || caller_class->service != request.service ||
@@ -136,8 +125,7 @@
     submission.caller_class = request.caller_class;
     submission.payload = request.payload;
     submission.deadline =
-        received + std::min(request.deadline.value_or(caller_class->deadline),
-                            caller_class->deadline);
+        deadline_of(*caller_class, received, request.deadline);
     return submission;
 }
 
--- a/Programs/entry/serving_view.hpp
+++ b/Programs/entry/serving_view.hpp
@@ -1,6 +1,7 @@
 #ifndef WISTERIAHATCH_ENTRY_SERVING_VIEW_HPP
 #define WISTERIAHATCH_ENTRY_SERVING_VIEW_HPP
 
+#include "core/base/error.hpp"
 #include "core/connection/upstream_state.hpp"
 #include "core/process/published.hpp"
 #include "core/process/service_state.hpp"
@@ -8,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,6 +30,19 @@
 
 using published_view = published<serving_view>;
 
+// Returns the newest view; no_configuration before the first one.
+result<std::shared_ptr<const serving_view>>
+require_view(published_view::reader& views);
+
+// Returns the service; unknown_service when the document does not have it.
+result<const service_spec*> require_service(const serving_view& view,
+                                            const std::string& name);
+
+// Returns the end of the time that a caller asked for, which is at most that of
+// its class and counts from the arrival of the request.
+time_point deadline_of(const class_spec& caller_class, time_point received,
+                       std::optional<std::chrono::milliseconds> asked);
+
 }
 
 #endif
