gateway: Repeat at an upstream that refused, and name lacked legs in the log

The log line of a request names each leg without an answer, its sends and why.

Ruled out: more budget (the sum over all instances is the rule), and more upstreams than the route allows.

--- a/Libraries/core/connection/upstream_choice.cpp
+++ b/Libraries/core/connection/upstream_choice.cpp
@@ -1,6 +1,5 @@
 #include "core/connection/upstream_choice.hpp"
 
-#include <algorithm>
 #include <tuple>
 
 namespace wisteriahatch
@@ -30,7 +29,6 @@
 }
 
 registered_upstream_ptr choose_upstream(const upstream_group& group,
-                                        std::span<const std::string> tried,
                                         std::string_view failure_domain,
                                         time_point now, std::mt19937_64& random)
 {
@@ -39,8 +37,6 @@
     upstream_rank best_rank;
     for (const auto& each : group)
     {
-        if (std::ranges::find(tried, each->spec.id) != tried.end())
-            continue;
         const double distance = each->spec.failure_domain == failure_domain
                                     ? 1
                                     : other_domain_factor;
--- a/Libraries/core/connection/upstream_choice.hpp
+++ b/Libraries/core/connection/upstream_choice.hpp
@@ -4,8 +4,6 @@
 #include "core/process/upstream_registry.hpp"
 
 #include <random>
-#include <span>
-#include <string>
 #include <string_view>
 
 namespace wisteriahatch
@@ -15,11 +13,10 @@
 // bytes between domains cost, and the way is longer.
 inline constexpr double other_domain_factor = 1.6;
 
-// Returns the upstream of the group that is expected to answer first and is
-// not among the ids in `tried`, or nullptr. Upstreams that leave, and after
-// them ejected ones, are chosen only when there is no other.
+// Returns the upstream of the group that is expected to answer first, or
+// nullptr for an empty group. Upstreams that leave, and after them ejected
+// ones, are chosen only when there is no other.
 registered_upstream_ptr choose_upstream(const upstream_group& group,
-                                        std::span<const std::string> tried,
                                         std::string_view failure_domain,
                                         time_point now,
                                         std::mt19937_64& random);
--- a/Libraries/core/connection/upstream_queue.cpp
+++ b/Libraries/core/connection/upstream_queue.cpp
@@ -7,6 +7,7 @@
 
 upstream_queue::upstream_queue(options values)
     : share(std::max(1U, values.connection_share))
+    , min_limit(std::max(1U, values.min_limit))
     , adaptive_limit(this->share)
 {
 }
@@ -35,7 +36,8 @@
     if (is_overload && now - latency >= this->last_decrease)
     {
         this->adaptive_limit =
-            std::max(1.0, this->adaptive_limit * decrease_factor);
+            std::max<double>(std::min(this->min_limit, this->share),
+                             this->adaptive_limit * decrease_factor);
         this->last_decrease = now;
     }
     // A success says something about the limit only when the limit was used.
--- a/Libraries/core/connection/upstream_queue.hpp
+++ b/Libraries/core/connection/upstream_queue.hpp
@@ -40,6 +40,9 @@
         // Connections that this instance may open to the upstream; the limit
         // never exceeds it. 0 is taken as 1.
         unsigned connection_share = 1;
+        // The adaptive limit stays at or above this, but never above the
+        // share. 0 is taken as 1.
+        unsigned min_limit = 1;
     };
 
     // What the caller has to do after an event. Each submitted id is in
@@ -81,7 +84,7 @@
 
     // Earliest deadline of a waiting call: when to call expire() next.
     std::optional<time_point> next_deadline() const;
-    // Calls that may run at once: 1 to the connection share.
+    // Calls that may run at once: min_limit to the connection share.
     unsigned limit() const;
     std::size_t running() const;
     std::size_t waiting() const;
@@ -91,6 +94,7 @@
     void start_waiting(actions& result);
 
     unsigned share;
+    unsigned min_limit;
     // Kept as a fraction, so that several successes add up to one place.
     double adaptive_limit;
     // Sheds and timeouts of calls started before this time belong to the
--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -3,6 +3,7 @@
 #include "core/connection/upstream_choice.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wisteriahatch
@@ -17,6 +18,38 @@
 
 }
 
+std::string_view to_string(attempt_end end)
+{
+    switch (end)
+    {
+    case attempt_end::answered:
+        return "answered";
+    case attempt_end::unsent:
+        return "unsent";
+    case attempt_end::refused:
+        return "refused";
+    case attempt_end::failed:
+        return "failed";
+    }
+    return "";
+}
+
+std::string_view to_string(fan_out_result result)
+{
+    switch (result)
+    {
+    case fan_out_result::answered:
+        return "answered";
+    case fan_out_result::not_run:
+        return "not_run";
+    case fan_out_result::failed:
+        return "failed";
+    case fan_out_result::timed_out:
+        return "timed_out";
+    }
+    return "";
+}
+
 fan_out::fan_out(options values)
     : chosen(std::move(values))
 {
@@ -55,7 +88,7 @@
         owner.running.clear();
     }
     else
-        this->retry_or_give_up(index, end, now);
+        this->retry_or_give_up(index, attempt, end, now);
     this->conclude(now);
     return this->take_actions(now);
 }
@@ -88,15 +121,49 @@
     return !each.answer && !each.is_given_up;
 }
 
+bool fan_out::may_use(const leg& owner, const std::string& id,
+                      bool is_new_wanted) const
+{
+    const auto found = std::ranges::find(owner.tried, id, &tried_upstream::id);
+    if (found == owner.tried.end())
+        return is_new_wanted;
+    return !is_new_wanted && found->is_used &&
+           std::ranges::find(owner.running, found->last_attempt) ==
+               owner.running.end();
+}
+
+registered_upstream_ptr fan_out::choose(const leg& owner, time_point now) const
+{
+    const auto used = static_cast<std::size_t>(std::ranges::count_if(
+        owner.tried, [](const tried_upstream& each) { return each.is_used; }));
+    const auto& group = this->chosen.upstreams->group(owner.service);
+    // New upstreams first; then those that have ended an attempt of this leg,
+    // which do not count against the limit of upstreams again.
+    for (const bool is_new_wanted : {true, false})
+    {
+        if (is_new_wanted && used >= this->chosen.max_attempts)
+            continue;
+        upstream_group candidates;
+        std::ranges::copy_if(group, std::back_inserter(candidates),
+                             [&](const registered_upstream_ptr& each) {
+                                 return this->may_use(owner, each->spec.id,
+                                                      is_new_wanted);
+                             });
+        if (auto best =
+                choose_upstream(candidates, this->chosen.failure_domain, now,
+                                *this->chosen.random))
+            return best;
+    }
+    return nullptr;
+}
+
 bool fan_out::try_send(std::size_t index, payment paid, time_point now)
 {
     auto& owner = this->legs[index];
-    if (owner.sends >= this->chosen.max_attempts ||
+    if (owner.sends >= this->chosen.max_attempts * max_sends_per_upstream ||
         now >= this->chosen.deadline)
         return false;
-    const auto upstream = choose_upstream(
-        this->chosen.upstreams->group(owner.service), owner.tried,
-        this->chosen.failure_domain, now, *this->chosen.random);
+    const auto upstream = this->choose(owner, now);
     if (!upstream)
         return false;
     if (paid == payment::from_budget &&
@@ -104,30 +171,40 @@
         return false;
     this->attempts.push_back(index);
     const attempt_id attempt{this->attempts.size()};
-    owner.tried.push_back(upstream->spec.id);
+    const auto known = std::ranges::find(owner.tried, upstream->spec.id,
+                                         &tried_upstream::id);
+    if (known != owner.tried.end())
+        known->last_attempt = attempt;
+    else
+        owner.tried.push_back(
+            {.id = upstream->spec.id, .last_attempt = attempt});
     owner.running.push_back(attempt);
     ++owner.sends;
     owner.hedge_at = now + this->chosen.hedge_delay;
     if (paid == payment::from_budget)
         ++this->repeat_count;
-    this->actions.emplace_back(send{.attempt = attempt,
-                                    .leg = index,
-                                    .upstream = upstream,
-                                    .is_repeat = paid == payment::from_budget});
+    this->actions.emplace_back(
+        send{.attempt = attempt,
+             .leg = index,
+             .upstream = upstream,
+             .is_repeat = paid == payment::from_budget});
     return true;
 }
 
-void fan_out::retry_or_give_up(std::size_t index, attempt_end end,
-                               time_point now)
+void fan_out::retry_or_give_up(std::size_t index, attempt_id attempt,
+                               attempt_end end, time_point now)
 {
     auto& owner = this->legs[index];
+    owner.last_failure = end;
     auto paid = payment::from_budget;
     bool may_repeat = true;
     if (end == attempt_end::unsent)
     {
         // Nothing arrived at an upstream, so that another send is the first.
         --owner.sends;
-        paid = payment::free;
+        std::ranges::find(owner.tried, attempt, &tried_upstream::last_attempt)
+            ->is_used = false;
+        paid = owner.sends == 0 ? payment::free : payment::from_budget;
         may_repeat = ++owner.unsent < max_unsent;
     }
     else if (end == attempt_end::failed)
@@ -188,7 +265,10 @@
     finish last{.result = result};
     for (auto& each : this->legs)
     {
-        last.answers.push_back(each.answer);
+        last.legs.push_back({.answer = each.answer,
+                             .sends = each.sends,
+                             .last_failure = each.last_failure,
+                             .running = each.running.size()});
         for (const auto attempt : std::exchange(each.running, {}))
             this->actions.emplace_back(release{attempt});
     }
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -31,6 +32,8 @@
     failed,
 };
 
+std::string_view to_string(attempt_end end);
+
 // How a request ended.
 enum class fan_out_result : std::uint8_t
 {
@@ -44,6 +47,8 @@
     timed_out,
 };
 
+std::string_view to_string(fan_out_result result);
+
 // Sends one request to each of one or more services (its legs) and decides
 // when to hedge, repeat, answer with the legs that are there, or give up. The
 // bodies stay with the caller, who knows them by attempt. No I/O, no clock.
@@ -93,18 +98,32 @@
         time_point at;
     };
 
+    // How far a leg came.
+    struct leg_outcome
+    {
+        std::optional<attempt_id> answer;
+        unsigned sends = 0;
+        // How the last attempt without an answer ended; empty while none has.
+        std::optional<attempt_end> last_failure;
+        // Attempts that still ran when the request ended.
+        std::size_t running = 0;
+    };
+
     // The request has ended; no action follows.
     struct finish
     {
         fan_out_result result = fan_out_result::failed;
-        // The attempt that answered each leg, in the order of the services.
-        std::vector<std::optional<attempt_id>> answers;
+        // In the order of the services.
+        std::vector<leg_outcome> legs;
     };
 
     using action = std::variant<send, release, wake, finish>;
 
     // Sends of one leg that end unsent before the leg is given up.
     static constexpr unsigned max_unsent = 4;
+    // Sends of one leg for each upstream that it may use: an upstream that
+    // refuses some requests may take the next one.
+    static constexpr unsigned max_sends_per_upstream = 2;
 
     explicit fan_out(options values);
 
@@ -119,16 +138,25 @@
     unsigned repeats() const;
 
 private:
+    // An upstream that was chosen for a leg.
+    struct tried_upstream
+    {
+        std::string id;
+        attempt_id last_attempt;
+        // False when nothing has reached it.
+        bool is_used = true;
+    };
+
     struct leg
     {
         std::string service;
-        // Ids of the upstreams that were chosen.
-        std::vector<std::string> tried;
+        std::vector<tried_upstream> tried;
         std::vector<attempt_id> running;
         std::optional<attempt_id> answer;
         // Attempts that were sent, or are about to be.
         unsigned sends = 0;
         unsigned unsent = 0;
+        std::optional<attempt_end> last_failure;
         bool is_given_up = false;
         time_point hedge_at = time_point::max();
     };
@@ -141,8 +169,13 @@
     };
 
     bool is_open(const leg& each) const;
+    // Returns the upstream to which the leg goes next, or nullptr.
+    registered_upstream_ptr choose(const leg& owner, time_point now) const;
+    bool may_use(const leg& owner, const std::string& id,
+                 bool is_new_wanted) const;
     bool try_send(std::size_t index, payment paid, time_point now);
-    void retry_or_give_up(std::size_t index, attempt_end end, time_point now);
+    void retry_or_give_up(std::size_t index, attempt_id attempt,
+                          attempt_end end, time_point now);
     void send_hedges(time_point now);
     // Ends the request when its legs allow or the time demands it.
     void conclude(time_point now);
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -53,7 +53,8 @@
     , address(std::move(upstream_place))
     , values(chosen)
     , finished(std::move(handler))
-    , queue({.connection_share = this->address.connection_share})
+    , queue({.connection_share = this->address.connection_share,
+             .min_limit = this->address.min_concurrency})
     , timer(own_worker)
 {
 }
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -91,6 +91,8 @@
     boost::asio::ip::tcp::endpoint endpoint;
     // Connections that this instance may open.
     unsigned connection_share = 1;
+    // Calls that may always run at once, however often the upstream sheds.
+    unsigned min_concurrency = 1;
     std::shared_ptr<upstream_state> state;
     // The instance list says that the upstream is leaving. Replies that say
     // otherwise do not revoke it.
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -83,20 +83,24 @@
     return reply;
 }
 
-std::string_view to_string(fan_out_result result)
+// Returns the services without an answer, each with its sends, how the last
+// one failed and how many still ran: "quotes:2:refused:1".
+std::string describe_lacked(const std::vector<std::string>& services,
+                            const std::vector<fan_out::leg_outcome>& legs)
 {
-    switch (result)
+    std::string text;
+    for (std::size_t index = 0; index < legs.size(); ++index)
     {
-    case fan_out_result::answered:
-        return "answered";
-    case fan_out_result::not_run:
-        return "not_run";
-    case fan_out_result::failed:
-        return "failed";
-    case fan_out_result::timed_out:
-        return "timed_out";
+        const auto& leg = legs[index];
+        if (leg.answer)
+            continue;
+        if (!text.empty())
+            text += ',';
+        text += services[index] + ":" + std::to_string(leg.sends) + ":";
+        text += leg.last_failure ? to_string(*leg.last_failure) : "none";
+        text += ":" + std::to_string(leg.running);
     }
-    return "";
+    return text;
 }
 
 }
@@ -131,6 +135,8 @@
                                                accepted_request accepted)
 {
     const auto& route = *accepted.route;
+    auto plan = this->make_plan(accepted);
+    accepted.services = plan.services;
     const auto session = std::make_shared<request_session>(
         request_session::options{.worker = this->chosen.worker,
                                  .upstreams = this->chosen.upstreams,
@@ -141,7 +147,7 @@
                                  .deadline = accepted.deadline,
                                  .priority = route.priority,
                                  .is_scattered = route.is_scattered(),
-                                 .plan = this->make_plan(accepted)});
+                                 .plan = std::move(plan)});
     auto outcome = co_await session->run();
     if (!outcome)
     {
@@ -260,16 +266,13 @@
 void forwarder::log_outcome(const accepted_request& accepted,
                             const forwarded_request& outcome, unsigned status)
 {
-    const auto missing = std::ranges::count_if(
-        outcome.answers,
-        [](const std::optional<upstream_reply>& answer) { return !answer; });
     log_event(log_level::info, "request_ended",
               {{"id", accepted.id},
                {"route", accepted.route->name},
                {"version", std::to_string(accepted.routes->version())},
                {"result", std::string(to_string(outcome.result))},
                {"status", std::to_string(status)},
-               {"missing", std::to_string(missing)},
+               {"lacked", describe_lacked(accepted.services, outcome.legs)},
                {"sends", std::to_string(outcome.sends)},
                {"repeats", std::to_string(outcome.repeats)},
                {"left_ms", to_text(accepted.deadline - clock_now())},
--- a/Programs/gateway/forwarder.hpp
+++ b/Programs/gateway/forwarder.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace wisteriahatch
 {
@@ -41,6 +42,8 @@
         std::string id;
         route_table_ptr routes;
         const route_spec* route = nullptr;
+        // The services of its legs.
+        std::vector<std::string> services;
         time_point received;
         time_point deadline;
         duration target_latency{0};
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -143,11 +143,12 @@
 {
     this->outcome.result = action.result;
     this->outcome.repeats = this->decisions.repeats();
-    for (const auto& answer : action.answers)
+    this->outcome.legs = action.legs;
+    for (const auto& leg : action.legs)
     {
         auto& place = this->outcome.answers.emplace_back();
-        if (answer)
-            place = std::move(this->replies.at(*answer));
+        if (leg.answer)
+            place = std::move(this->replies.at(*leg.answer));
     }
     this->has_ended = true;
     this->timer.cancel();
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -22,8 +22,10 @@
 struct forwarded_request
 {
     fan_out_result result = fan_out_result::failed;
-    // The answer of each leg, in the order of the services.
+    // The answer of each leg, in the order of the services, and how far the
+    // leg came.
     std::vector<std::optional<upstream_reply>> answers;
+    std::vector<fan_out::leg_outcome> legs;
     // An upstream's own failure, which its caller gets where there is no
     // answer.
     std::optional<upstream_reply> failure;
