gateway: Spread routing between instances, and never call a replaced upstream

They now learn the newer revision by gossip (the product's membership) and fetch the routing from a peer (routing.fetch) while the store is silent. The client for peers moves from the entry program to Libraries/peers. Upstreams' connections are shared by the most instances ever seen.

An upstream at whose address another one answers (421) is not chosen again for 30 s. Ruled out: free repeats (only unsent attempts are free) and restarts (none in the window).

Also: another failure domain now adds 30 ms to the expected time instead of a factor of 1.6. A pause of 700 ms after news instead of 300 ms saves store calls.

--- a/Libraries/core/connection/upstream_choice.cpp
+++ b/Libraries/core/connection/upstream_choice.cpp
@@ -12,6 +12,10 @@
 // not all choose the same upstream.
 constexpr double score_spread = 0.2;
 
+// In the unit of scores.
+constexpr double domain_penalty =
+    static_cast<double>(std::chrono::nanoseconds(other_domain_penalty).count());
+
 // Ranks an upstream; the lowest rank is chosen.
 struct upstream_rank
 {
@@ -37,13 +41,14 @@
     upstream_rank best_rank;
     for (const auto& each : group)
     {
-        const double distance = each->spec.failure_domain == failure_domain
-                                    ? 1
-                                    : other_domain_factor;
-        const upstream_rank rank{.is_leaving = each->leaving_since.has_value(),
-                                 .is_ejected = each->state->is_ejected(now),
-                                 .score = each->state->score(now) * distance *
-                                          spread(random)};
+        if (each->state->is_misdirected(now))
+            continue;
+        const double distance =
+            each->spec.failure_domain == failure_domain ? 0 : domain_penalty;
+        const upstream_rank rank{
+            .is_leaving = each->leaving_since.has_value(),
+            .is_ejected = each->state->is_ejected(now),
+            .score = each->state->score(now) * spread(random) + distance};
         if (best && !(rank < best_rank))
             continue;
         best = each;
--- a/Libraries/core/connection/upstream_choice.hpp
+++ b/Libraries/core/connection/upstream_choice.hpp
@@ -3,19 +3,22 @@
 
 #include "core/process/upstream_registry.hpp"
 
+#include <chrono>
 #include <random>
 #include <string_view>
 
 namespace wisteriahatch
 {
 
-// Score of an upstream in another failure domain, as a multiple of its own:
-// bytes between domains cost, and the way is longer.
-inline constexpr double other_domain_factor = 1.6;
+// Added to the expected time of an upstream in another failure domain: bytes
+// between domains cost. An addition, unlike a factor, lets a request go to
+// another domain as soon as the own one would keep it waiting.
+inline constexpr std::chrono::milliseconds other_domain_penalty{30};
 
 // Returns the upstream of the group that is expected to answer first, or
-// nullptr for an empty group. Upstreams that leave, and after them ejected
-// ones, are chosen only when there is no other.
+// nullptr when there is none. Upstreams that leave, and after them ejected
+// ones, are chosen only when there is no other; one whose address belongs to
+// another upstream now is never chosen.
 registered_upstream_ptr choose_upstream(const upstream_group& group,
                                         std::string_view failure_domain,
                                         time_point now,
--- a/Libraries/core/connection/upstream_state.cpp
+++ b/Libraries/core/connection/upstream_state.cpp
@@ -113,6 +113,17 @@
     return to_nanoseconds(now) < this->ejected_until_nanoseconds;
 }
 
+void upstream_state::record_misdirection(time_point now)
+{
+    this->misdirected_until_nanoseconds =
+        to_nanoseconds(now + misdirection_time);
+}
+
+bool upstream_state::is_misdirected(time_point now) const
+{
+    return to_nanoseconds(now) < this->misdirected_until_nanoseconds;
+}
+
 void upstream_state::set_draining(bool value)
 {
     this->draining = value;
--- a/Libraries/core/connection/upstream_state.hpp
+++ b/Libraries/core/connection/upstream_state.hpp
@@ -23,6 +23,9 @@
     static constexpr unsigned ejection_failures = 5;
     static constexpr std::chrono::seconds first_ejection{1};
     static constexpr std::chrono::seconds longest_ejection{30};
+    // A directory names the upstream's new start, under which it has another
+    // state, long before this has passed.
+    static constexpr std::chrono::seconds misdirection_time{30};
     // Time over which a new replica's score falls to its normal value.
     static constexpr std::chrono::seconds cold_start{10};
     // Index versions remembered per replica; the newest are kept.
@@ -61,6 +64,11 @@
     duration smoothed_latency() const;
     bool is_ejected(time_point now) const;
 
+    // Another upstream answered at this one's address, so that requests for
+    // this one would only load the other. Holds for misdirection_time.
+    void record_misdirection(time_point now);
+    bool is_misdirected(time_point now) const;
+
     // An upstream that is leaving gets no new work.
     void set_draining(bool value);
     bool is_draining() const;
@@ -100,6 +108,7 @@
     std::atomic<unsigned> consecutive_failures{0};
     std::atomic<unsigned> ejections{0};
     std::atomic<std::int64_t> ejected_until_nanoseconds{0};
+    std::atomic<std::int64_t> misdirected_until_nanoseconds{0};
     std::atomic<bool> draining{false};
     std::atomic<double> load{0};
     std::atomic<std::uint64_t> versions[max_versions]{};
--- /dev/null
+++ b/Libraries/core/process/routing_snapshot.cpp
@@ -0,0 +1,260 @@
+#include "core/process/routing_snapshot.hpp"
+
+#include "core/base/json_fields.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <chrono>
+#include <limits>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+constexpr std::size_t max_items = 100000;
+constexpr std::size_t max_text_bytes = 4096;
+constexpr std::uint64_t max_number =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+constexpr std::uint64_t max_count = std::numeric_limits<std::uint32_t>::max();
+
+// Reads a fraction, which may also be written as a whole number.
+result<double> read_fraction(const json::object& object, std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    json::error_code failure;
+    const double number =
+        value == nullptr ? 0 : value->to_number<double>(failure);
+    if (value == nullptr || failure)
+        return error{error_kind::malformed_request,
+                     "\"" + std::string(key) + "\" is not a number; send one"};
+    return number;
+}
+
+result<milliseconds> read_time(const json::object& object, std::string_view key)
+{
+    BOOST_OUTCOME_TRY(const auto count,
+                      read_json_number(object, key, max_number));
+    return milliseconds(count);
+}
+
+result<bool> read_flag(const json::object& object, std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    if (value == nullptr || !value->is_bool())
+        return error{error_kind::malformed_request,
+                     "\"" + std::string(key) + "\" is not true or false"};
+    return value->get_bool();
+}
+
+json::object encode_route(const route_spec& route)
+{
+    json::array services;
+    for (const auto& each : route.services)
+        services.push_back(
+            json::object{{"service", each.service}, {"weight", each.weight}});
+    json::array shards;
+    for (const auto& each : route.shards)
+        shards.push_back(json::string(each));
+    return {{"name", route.name},
+            {"host", route.host},
+            {"prefix", route.prefix},
+            {"idempotent", route.retries == retry_rule::idempotent},
+            {"timeout_ms", route.timeout.count()},
+            {"target_ms", route.target_latency.count()},
+            {"priority", route.priority},
+            {"max_attempts", route.max_attempts},
+            {"services", std::move(services)},
+            {"shards", std::move(shards)},
+            {"top_records", route.top_records},
+            {"min_coverage", route.min_coverage}};
+}
+
+result<route_spec> decode_route(const json::value& value)
+{
+    BOOST_OUTCOME_TRY(const auto* object, read_json_object(value, "routes"));
+    route_spec route;
+    BOOST_OUTCOME_TRY(route.name,
+                      read_json_text(*object, "name", max_text_bytes));
+    BOOST_OUTCOME_TRY(route.host,
+                      read_json_text(*object, "host", max_text_bytes));
+    BOOST_OUTCOME_TRY(route.prefix,
+                      read_json_text(*object, "prefix", max_text_bytes));
+    BOOST_OUTCOME_TRY(const auto is_idempotent,
+                      read_flag(*object, "idempotent"));
+    route.retries =
+        is_idempotent ? retry_rule::idempotent : retry_rule::at_most_once;
+    BOOST_OUTCOME_TRY(route.timeout, read_time(*object, "timeout_ms"));
+    BOOST_OUTCOME_TRY(route.target_latency, read_time(*object, "target_ms"));
+    BOOST_OUTCOME_TRY(const auto priority,
+                      read_json_number(*object, "priority", max_count));
+    BOOST_OUTCOME_TRY(const auto attempts,
+                      read_json_number(*object, "max_attempts", max_count));
+    BOOST_OUTCOME_TRY(route.top_records,
+                      read_json_number(*object, "top_records", max_count));
+    BOOST_OUTCOME_TRY(route.min_coverage,
+                      read_fraction(*object, "min_coverage"));
+    route.priority = static_cast<unsigned>(priority);
+    route.max_attempts = static_cast<unsigned>(attempts);
+    BOOST_OUTCOME_TRY(const auto* services,
+                      read_json_array(*object, "services", max_items));
+    for (const auto& each : *services)
+    {
+        BOOST_OUTCOME_TRY(const auto* part, read_json_object(each, "services"));
+        BOOST_OUTCOME_TRY(auto name,
+                          read_json_text(*part, "service", max_text_bytes));
+        BOOST_OUTCOME_TRY(const auto weight, read_fraction(*part, "weight"));
+        route.services.push_back(
+            {.service = std::move(name), .weight = weight});
+    }
+    BOOST_OUTCOME_TRY(const auto* shards,
+                      read_json_array(*object, "shards", max_items));
+    for (const auto& each : *shards)
+        if (const auto* name = each.if_string())
+            route.shards.emplace_back(name->data(), name->size());
+    if (route.services.empty() && route.shards.empty())
+        return error{error_kind::malformed_request,
+                     "the route \"" + route.name + "\" names no service"};
+    return route;
+}
+
+json::object encode_routes(const route_table& table)
+{
+    json::array routes;
+    for (const auto& each : table.routes())
+        routes.push_back(encode_route(each));
+    json::array services;
+    for (const auto& [name, limits] : table.services())
+        services.push_back(
+            json::object{{"name", name},
+                         {"health_path", limits.health_path},
+                         {"max_connections", limits.max_connections}});
+    const auto& callers = table.callers();
+    return {{"version", table.version()},
+            {"routes", std::move(routes)},
+            {"services", std::move(services)},
+            {"max_header_bytes", callers.max_header_bytes},
+            {"max_body_bytes", callers.max_body_bytes},
+            {"header_timeout_ms", callers.header_timeout.count()},
+            {"idle_timeout_ms", callers.idle_timeout.count()}};
+}
+
+result<route_table_ptr> decode_routes(const json::object& object)
+{
+    route_table::options table;
+    BOOST_OUTCOME_TRY(table.version,
+                      read_json_number(object, "version", max_number));
+    BOOST_OUTCOME_TRY(const auto* routes,
+                      read_json_array(object, "routes", max_items));
+    for (const auto& each : *routes)
+    {
+        BOOST_OUTCOME_TRY(auto route, decode_route(each));
+        table.routes.push_back(std::move(route));
+    }
+    BOOST_OUTCOME_TRY(const auto* services,
+                      read_json_array(object, "services", max_items));
+    for (const auto& each : *services)
+    {
+        BOOST_OUTCOME_TRY(const auto* item, read_json_object(each, "services"));
+        BOOST_OUTCOME_TRY(auto name,
+                          read_json_text(*item, "name", max_text_bytes));
+        service_limits limits;
+        BOOST_OUTCOME_TRY(limits.health_path,
+                          read_json_text(*item, "health_path", max_text_bytes));
+        BOOST_OUTCOME_TRY(
+            const auto connections,
+            read_json_number(*item, "max_connections", max_count));
+        limits.max_connections = static_cast<unsigned>(connections);
+        table.services.emplace(std::move(name), std::move(limits));
+    }
+    auto& callers = table.callers;
+    BOOST_OUTCOME_TRY(callers.max_header_bytes,
+                      read_json_number(object, "max_header_bytes", max_number));
+    BOOST_OUTCOME_TRY(callers.max_body_bytes,
+                      read_json_number(object, "max_body_bytes", max_number));
+    BOOST_OUTCOME_TRY(callers.header_timeout,
+                      read_time(object, "header_timeout_ms"));
+    BOOST_OUTCOME_TRY(callers.idle_timeout,
+                      read_time(object, "idle_timeout_ms"));
+    return std::make_shared<const route_table>(std::move(table));
+}
+
+json::object encode_upstream(const upstream_spec& spec)
+{
+    return {{"id", spec.id},
+            {"service", spec.service},
+            {"address", spec.address},
+            {"failure_domain", spec.failure_domain},
+            {"slots", spec.slots},
+            {"is_draining", spec.is_draining},
+            {"warm_up_left_ms", spec.warm_up_left.count()},
+            {"start", spec.start.value}};
+}
+
+result<upstream_spec> decode_upstream(const json::value& value)
+{
+    BOOST_OUTCOME_TRY(const auto* object, read_json_object(value, "upstreams"));
+    upstream_spec spec;
+    BOOST_OUTCOME_TRY(spec.id, read_json_text(*object, "id", max_text_bytes));
+    BOOST_OUTCOME_TRY(spec.service,
+                      read_json_text(*object, "service", max_text_bytes));
+    BOOST_OUTCOME_TRY(spec.address,
+                      read_json_text(*object, "address", max_text_bytes));
+    BOOST_OUTCOME_TRY(
+        spec.failure_domain,
+        read_json_text(*object, "failure_domain", max_text_bytes));
+    BOOST_OUTCOME_TRY(const auto slots,
+                      read_json_number(*object, "slots", max_count));
+    spec.slots = static_cast<unsigned>(slots);
+    BOOST_OUTCOME_TRY(spec.is_draining, read_flag(*object, "is_draining"));
+    BOOST_OUTCOME_TRY(spec.warm_up_left, read_time(*object, "warm_up_left_ms"));
+    BOOST_OUTCOME_TRY(const auto start,
+                      read_json_number(*object, "start", max_number));
+    spec.start = {start};
+    return spec;
+}
+
+}
+
+std::string encode_snapshot(const routing_snapshot& snapshot)
+{
+    json::array upstreams;
+    for (const auto& each : snapshot.upstreams)
+        upstreams.push_back(encode_upstream(each));
+    json::object object{{"revision", snapshot.revision},
+                        {"upstreams", std::move(upstreams)}};
+    if (snapshot.routes)
+        object["routing"] = encode_routes(*snapshot.routes);
+    return json::serialize(object);
+}
+
+result<routing_snapshot> decode_snapshot(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto object,
+                      parse_json_object(text, max_snapshot_bytes));
+    routing_snapshot snapshot;
+    BOOST_OUTCOME_TRY(snapshot.revision,
+                      read_json_number(object, "revision", max_number));
+    BOOST_OUTCOME_TRY(const auto* upstreams,
+                      read_json_array(object, "upstreams", max_items));
+    for (const auto& each : *upstreams)
+    {
+        BOOST_OUTCOME_TRY(auto spec, decode_upstream(each));
+        snapshot.upstreams.push_back(std::move(spec));
+    }
+    if (const auto* routing = object.if_contains("routing"))
+    {
+        BOOST_OUTCOME_TRY(const auto* table,
+                          read_json_object(*routing, "routing"));
+        BOOST_OUTCOME_TRY(snapshot.routes, decode_routes(*table));
+    }
+    return snapshot;
+}
+
+}
--- a/Libraries/core/process/upstream_registry.cpp
+++ b/Libraries/core/process/upstream_registry.cpp
@@ -11,11 +11,17 @@
 {
     const auto found = this->upstreams.find(spec.id);
     const bool is_known = found != this->upstreams.end();
+    // How long it has been leaving is unknown; it may be due to end.
+    if (!is_known && spec.is_draining)
+        return false;
     const bool is_same_start = is_known &&
                                found->second->spec.start == spec.start &&
                                found->second->spec.address == spec.address &&
                                found->second->spec.service == spec.service;
-    if (is_same_start && found->second->spec == spec &&
+    // The remaining warm-up matters at the first sight only.
+    if (is_same_start && found->second->spec.slots == spec.slots &&
+        found->second->spec.failure_domain == spec.failure_domain &&
+        found->second->spec.is_draining == spec.is_draining &&
         found->second->leaving_since.has_value() == spec.is_draining)
         return false;
     auto entry = std::make_shared<registered_upstream>();
@@ -95,6 +101,15 @@
     return found == this->groups.end() ? empty : found->second;
 }
 
+std::vector<upstream_spec> upstream_registry::listed() const
+{
+    std::vector<upstream_spec> specs;
+    for (const auto& [id, entry] : this->upstreams)
+        if (!entry->leaving_since || entry->spec.is_draining)
+            specs.push_back(entry->spec);
+    return specs;
+}
+
 const std::map<std::string, registered_upstream_ptr, std::less<>>&
 upstream_registry::all() const
 {
--- a/Libraries/core/process/upstream_registry.hpp
+++ b/Libraries/core/process/upstream_registry.hpp
@@ -63,7 +63,8 @@
     // said so; entries that lapsed are back two seconds after the directory.
     static constexpr std::chrono::milliseconds leaving_grace{2000};
 
-    // Each of these returns whether the set of upstreams has changed.
+    // Each of these returns whether the set of upstreams has changed. An
+    // unknown upstream that is draining is ignored.
     bool set(const upstream_spec& spec, time_point now);
     bool remove(std::string_view id, time_point now);
     // Takes a complete list: entries that are not in it are removed.
@@ -75,6 +76,8 @@
     std::optional<time_point> next_expiry() const;
     // Returns the upstreams of a service; empty for an unknown one.
     const upstream_group& group(std::string_view service) const;
+    // What the directory lists now: without the upstreams that it removed.
+    std::vector<upstream_spec> listed() const;
     // Every upstream, by id.
     const std::map<std::string, registered_upstream_ptr, std::less<>>&
     all() const;
--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -144,14 +144,12 @@
         if (is_new_wanted && used >= this->chosen.max_attempts)
             continue;
         upstream_group candidates;
-        std::ranges::copy_if(group, std::back_inserter(candidates),
-                             [&](const registered_upstream_ptr& each) {
-                                 return this->may_use(owner, each->spec.id,
-                                                      is_new_wanted);
-                             });
-        if (auto best =
-                choose_upstream(candidates, this->chosen.failure_domain, now,
-                                *this->chosen.random))
+        std::ranges::copy_if(
+            group, std::back_inserter(candidates),
+            [&](const registered_upstream_ptr& each)
+            { return this->may_use(owner, each->spec.id, is_new_wanted); });
+        if (auto best = choose_upstream(candidates, this->chosen.failure_domain,
+                                        now, *this->chosen.random))
             return best;
     }
     return nullptr;
@@ -171,8 +169,8 @@
         return false;
     this->attempts.push_back(index);
     const attempt_id attempt{this->attempts.size()};
-    const auto known = std::ranges::find(owner.tried, upstream->spec.id,
-                                         &tried_upstream::id);
+    const auto known =
+        std::ranges::find(owner.tried, upstream->spec.id, &tried_upstream::id);
     if (known != owner.tried.end())
         known->last_attempt = attempt;
     else
@@ -183,11 +181,10 @@
     owner.hedge_at = now + this->chosen.hedge_delay;
     if (paid == payment::from_budget)
         ++this->repeat_count;
-    this->actions.emplace_back(
-        send{.attempt = attempt,
-             .leg = index,
-             .upstream = upstream,
-             .is_repeat = paid == payment::from_budget});
+    this->actions.emplace_back(send{.attempt = attempt,
+                                    .leg = index,
+                                    .upstream = upstream,
+                                    .is_repeat = paid == payment::from_budget});
     return true;
 }
 
--- a/Libraries/core/version/route_table.cpp
+++ b/Libraries/core/version/route_table.cpp
@@ -47,6 +47,12 @@
     return this->values.callers;
 }
 
+const std::map<std::string, service_limits, std::less<>>&
+route_table::services() const
+{
+    return this->values.services;
+}
+
 const service_limits* route_table::find_service(std::string_view name) const
 {
     const auto found = this->values.services.find(name);
--- a/Libraries/core/version/route_table.hpp
+++ b/Libraries/core/version/route_table.hpp
@@ -98,6 +98,7 @@
     std::uint64_t version() const;
     const std::vector<route_spec>& routes() const;
     const caller_limits& callers() const;
+    const std::map<std::string, service_limits, std::less<>>& services() const;
     // Returns the service's limits, or nullptr.
     const service_limits* find_service(std::string_view name) const;
     // Returns the route of this host with the longest prefix that begins the
--- a/Libraries/net/configuration_source.hpp
+++ b/Libraries/net/configuration_source.hpp
@@ -2,8 +2,7 @@
 #define WISTERIAHATCH_NET_CONFIGURATION_SOURCE_HPP
 
 #include "core/base/error.hpp"
-#include "core/process/upstream_registry.hpp"
-#include "core/version/route_table.hpp"
+#include "core/process/routing_snapshot.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
@@ -15,16 +14,6 @@
 namespace wisteriahatch
 {
 
-// The routes and the upstreams as a source held them at `revision`, or a
-// little later.
-struct source_snapshot
-{
-    std::uint64_t revision = 0;
-    // Null when the source holds no routes yet.
-    route_table_ptr routes;
-    std::vector<upstream_spec> upstreams;
-};
-
 // One upstream that was written or removed.
 struct upstream_change
 {
@@ -51,7 +40,7 @@
 public:
     virtual ~configuration_source() = default;
 
-    virtual boost::asio::awaitable<result<source_snapshot>> read() = 0;
+    virtual boost::asio::awaitable<result<routing_snapshot>> read() = 0;
     // Returns as soon as something has changed after `revision`, or with no
     // change after `wait`.
     virtual boost::asio::awaitable<result<source_changes>>
--- a/Libraries/net/forwarding_dialect.cpp
+++ b/Libraries/net/forwarding_dialect.cpp
@@ -77,10 +77,15 @@
 
     bool is_refusal(const upstream_reply& reply) const override
     {
-        return reply.status == status_misdirected ||
+        return this->is_misdirected(reply) ||
                find_header(reply.headers, this->names.not_executed).has_value();
     }
 
+    bool is_misdirected(const upstream_reply& reply) const override
+    {
+        return reply.status == status_misdirected;
+    }
+
 private:
     forwarding_headers names;
 };
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -314,6 +314,9 @@
     const bool is_refused_version =
         exchange.outcome &&
         exchange.outcome.value().status == status_version_unavailable;
+    if (exchange.outcome &&
+        this->values.dialect->is_misdirected(exchange.outcome.value()))
+        task.state->record_misdirection(time);
     if (is_answered_probe || is_refused_version)
         task.state->record_cancel();
     else if (is_success)
--- a/Libraries/net/upstream_dialect.cpp
+++ b/Libraries/net/upstream_dialect.cpp
@@ -111,6 +111,12 @@
     {
         return reply.status == status_shed;
     }
+
+    // Replies name their replica, and the query compares it.
+    bool is_misdirected(const upstream_reply&) const override
+    {
+        return false;
+    }
 };
 
 }
--- a/Libraries/net/upstream_dialect.hpp
+++ b/Libraries/net/upstream_dialect.hpp
@@ -40,6 +40,8 @@
                             const upstream_reply& reply) const = 0;
     // True when the reply states that the upstream did not run the request.
     virtual bool is_refusal(const upstream_reply& reply) const = 0;
+    // True when another upstream than the one called has replied.
+    virtual bool is_misdirected(const upstream_reply& reply) const = 0;
 };
 
 // The dialect of the product's own upstreams: JSON bodies that carry ids and
--- a/Programs/entry/peer_client.cpp
+++ b/Libraries/peers/peer_client.cpp
@@ -1,4 +1,4 @@
-#include "peer_client.hpp"
+#include "peers/peer_client.hpp"
 
 #include "net/http_client.hpp"
 #include "rpc/peer_rpc.hpp"
@@ -35,9 +35,8 @@
         auto reply = fetch_blocking(server, post);
         if (!reply)
             throw std::runtime_error(reply.error().message);
-        chosen.measures->count_control_bytes(
-            static_cast<double>(message.size()),
-            static_cast<double>(reply.value().body.size()));
+        if (chosen.count_bytes)
+            chosen.count_bytes(message.size(), reply.value().body.size());
         return std::move(reply.value().body);
     };
     try
@@ -53,8 +52,8 @@
 }
 
 peer_client::peer_client(options values)
-    : chosen(values)
-    , callers(values.threads)
+    : chosen(std::move(values))
+    , callers(this->chosen.threads)
 {
 }
 
--- a/Programs/entry/peer_client.hpp
+++ b/Libraries/peers/peer_client.hpp
@@ -1,8 +1,7 @@
-#ifndef WISTERIAHATCH_ENTRY_PEER_CLIENT_HPP
-#define WISTERIAHATCH_ENTRY_PEER_CLIENT_HPP
+#ifndef WISTERIAHATCH_PEERS_PEER_CLIENT_HPP
+#define WISTERIAHATCH_PEERS_PEER_CLIENT_HPP
 
 #include "core/base/error.hpp"
-#include "telemetry/metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/thread_pool.hpp>
@@ -23,7 +22,9 @@
     {
         // Answers are handed over here.
         boost::asio::io_context* control = nullptr;
-        metrics* measures = nullptr;
+        // Called with the bytes of each call, on the thread that made it; may
+        // be empty.
+        std::function<void(std::size_t sent, std::size_t received)> count_bytes;
         std::chrono::milliseconds timeout{500};
         // Calls under way at once; more wait for a thread.
         std::size_t threads = 4;
--- a/Programs/entry/control_loop.cpp
+++ b/Programs/entry/control_loop.cpp
@@ -50,8 +50,14 @@
     , documents(store_options(*this->chosen.values), random_seed())
     , members(member_options(*this->chosen.values, this->chosen.self),
               random_seed())
-    , peers(peer_client::options{.control = this->chosen.control,
-                                 .measures = this->chosen.measures})
+    , peers(peer_client::options{
+          .control = this->chosen.control,
+          .count_bytes = [measures = this->chosen.measures](
+                             std::size_t sent, std::size_t received)
+          {
+              measures->count_control_bytes(static_cast<double>(sent),
+                                            static_cast<double>(received));
+          }})
 {
     this->add_peer_methods();
 }
--- a/Programs/entry/control_loop.hpp
+++ b/Programs/entry/control_loop.hpp
@@ -6,7 +6,7 @@
 #include "core/process/membership.hpp"
 #include "core/process/pause_detector.hpp"
 #include "net/upstream_pool.hpp"
-#include "peer_client.hpp"
+#include "peers/peer_client.hpp"
 #include "rpc/peer_rpc.hpp"
 #include "serving_view.hpp"
 #include "settings.hpp"
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway_process.hpp"
 
+#include "core/process/gossip_codec.hpp"
 #include "net/forwarding_dialect.hpp"
 #include "net/http_client.hpp"
 #include "telemetry/log.hpp"
@@ -54,6 +55,23 @@
             .reserve = static_cast<unsigned>(std::max(1.0, reserve))};
 }
 
+std::uint64_t random_seed();
+
+membership::options make_member_options(const gateway_settings& values)
+{
+    using std::chrono::milliseconds;
+    const auto started = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    membership::options chosen;
+    if (values.peer_address)
+        chosen.self.address = format_endpoint(*values.peer_address);
+    chosen.self.failure_domain = values.failure_domain;
+    chosen.self.nonce = {random_seed()};
+    chosen.self.epoch = static_cast<std::uint64_t>(started.count());
+    chosen.seeds = values.seeds;
+    return chosen;
+}
+
 std::uint64_t random_seed()
 {
     std::random_device source;
@@ -78,6 +96,10 @@
                .source = this->source.get(),
                .state = &this->state,
                .upstreams = &this->upstreams})
+    , peers({.worker = &this->workers.at(0),
+             .state = &this->state,
+             .watcher = &this->watcher,
+             .members = make_member_options(this->values)})
     , requests({.worker = &this->workers.at(0),
                 .state = &this->state,
                 .upstreams = &this->upstreams,
@@ -93,6 +115,13 @@
                    [this](http_request request)
                    { return this->answer_ready(std::move(request)); })
 {
+    if (this->values.peer_address)
+        this->peer_server.emplace(
+            this->workers,
+            http_server::options{.listen = *this->values.peer_address,
+                                 .max_body_bytes = max_gossip_bytes},
+            [this](http_request request)
+            { return this->answer_peer(std::move(request)); });
 }
 
 gateway_process::~gateway_process() = default;
@@ -106,7 +135,17 @@
     {
         BOOST_OUTCOME_TRY(server->start());
     }
-    asio::post(this->workers.at(0), [this] { this->watcher.start(); });
+    if (this->peer_server)
+    {
+        BOOST_OUTCOME_TRY(this->peer_server->start());
+    }
+    asio::post(this->workers.at(0),
+               [this]
+               {
+                   this->watcher.start();
+                   if (this->peer_server)
+                       this->peers.start();
+               });
     this->workers.start();
     log_event(log_level::info, "started",
               {{"name", this->values.name},
@@ -131,6 +170,7 @@
     log_event(
         log_level::info, "shutdown_finished",
         {{"running", std::to_string(this->caller_server.running_requests())}});
+    this->peers.stop();
     this->workers.stop();
 }
 
@@ -142,6 +182,13 @@
     co_return reply;
 }
 
+asio::awaitable<http_reply> gateway_process::answer_peer(http_request request)
+{
+    http_reply reply;
+    reply.body = this->peers.handle_message(request.body);
+    co_return reply;
+}
+
 http_limits gateway_process::read_limits() const
 {
     const caller_limits limits =
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -7,6 +7,7 @@
 #include "net/http_server.hpp"
 #include "net/upstream_pool.hpp"
 #include "net/worker_pool.hpp"
+#include "peer_exchange.hpp"
 #include "settings.hpp"
 #include "source_watcher.hpp"
 
@@ -33,6 +34,7 @@
 
 private:
     boost::asio::awaitable<http_reply> answer_ready(http_request request);
+    boost::asio::awaitable<http_reply> answer_peer(http_request request);
     http_limits read_limits() const;
     bool is_ready() const;
     void drain();
@@ -45,9 +47,12 @@
     gateway_state state;
     upstream_pool upstreams;
     source_watcher watcher;
+    peer_exchange peers;
     forwarder requests;
     http_server caller_server;
     http_server ready_server;
+    // Absent where there are no peers.
+    std::optional<http_server> peer_server;
     std::atomic<bool> is_draining{false};
 };
 
--- /dev/null
+++ b/Programs/gateway/peer_exchange.hpp
@@ -0,0 +1,68 @@
+#ifndef WISTERIAHATCH_GATEWAY_PEER_EXCHANGE_HPP
+#define WISTERIAHATCH_GATEWAY_PEER_EXCHANGE_HPP
+
+#include "core/process/membership.hpp"
+#include "gateway_state.hpp"
+#include "net/http_server.hpp"
+#include "peers/peer_client.hpp"
+#include "rpc/peer_rpc.hpp"
+#include "source_watcher.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace wisteriahatch
+{
+
+// Keeps the members of the fleet by gossip, and takes over the routing of a
+// peer that knows a newer revision while this instance can't hear the source.
+// Runs on the gateway's worker.
+class peer_exchange
+{
+public:
+    struct options
+    {
+        boost::asio::io_context* worker = nullptr;
+        gateway_state* state = nullptr;
+        source_watcher* watcher = nullptr;
+        membership::options members;
+    };
+
+    // A source that was silent for this long is helped out by peers.
+    static constexpr std::chrono::milliseconds source_silence{700};
+    // Time between two snapshots taken from peers.
+    static constexpr std::chrono::milliseconds snapshot_interval{500};
+
+    explicit peer_exchange(options values);
+
+    // Starts the exchanges.
+    void start();
+    // Waits for calls to peers. Call before the worker stops.
+    void stop();
+    // Answers a JSON-RPC message of another instance.
+    std::string handle_message(const std::string& message);
+
+private:
+    std::string answer_gossip(const std::string& parameters);
+    void exchange(const membership::exchange& next);
+    void handle_answer(const std::string& address,
+                       const result<std::string>& answer);
+    // Fetches the peer's routing when it is newer and needed.
+    void consider(const member_record& peer);
+    void adopt(const std::string& address, const result<std::string>& answer);
+    boost::asio::awaitable<void> run_timer();
+
+    options chosen;
+    membership members;
+    peer_client peers;
+    rpc_server methods;
+    time_point last_snapshot{};
+};
+
+}
+
+#endif
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -20,9 +20,6 @@
 
 namespace asio = boost::asio;
 
-// Connections to one upstream are shared by this many instances.
-constexpr unsigned assumed_instances = 10;
-
 time_point clock_now()
 {
     return std::chrono::steady_clock::now();
@@ -30,14 +27,17 @@
 
 // Returns the connections that this instance may open to an upstream: its part
 // of what the upstream accepts, and no more than can be of use.
-unsigned connection_share(const route_table* routes, const upstream_spec& spec)
+unsigned connection_share(const route_table* routes, const upstream_spec& spec,
+                          std::size_t instances)
 {
     const auto* limits =
         routes == nullptr ? nullptr : routes->find_service(spec.service);
     const unsigned most = spec.slots + 1;
     if (limits == nullptr)
         return 1;
-    return std::clamp(limits->max_connections / assumed_instances, 1U, most);
+    const auto part =
+        limits->max_connections / static_cast<unsigned>(instances);
+    return std::clamp(part, 1U, most);
 }
 
 }
@@ -55,7 +55,8 @@
         *this->chosen.worker, [this] { return this->run(); }, asio::detached);
 }
 
-void source_watcher::adopt(const route_table_ptr& routes, const char* origin)
+void source_watcher::adopt(const route_table_ptr& routes,
+                           const std::string& origin)
 {
     auto& state = *this->chosen.state;
     if (!routes ||
@@ -70,6 +71,50 @@
     this->publish_upstreams();
 }
 
+void source_watcher::adopt_snapshot(const routing_snapshot& snapshot,
+                                    const std::string& peer)
+{
+    if (snapshot.revision <= this->revision)
+        return;
+    log_event(log_level::info, "peer_routing_adopted",
+              {{"peer", peer},
+               {"revision", std::to_string(snapshot.revision)},
+               {"known_revision", std::to_string(this->revision)}});
+    this->revision = snapshot.revision;
+    // Changes after the peer's revision can be watched as after an own read.
+    this->has_snapshot = true;
+    this->adopt(snapshot.routes, peer);
+    if (this->chosen.state->upstreams.replace_all(snapshot.upstreams,
+                                                  clock_now()))
+        this->publish_upstreams();
+    this->arm_expiry();
+}
+
+routing_snapshot source_watcher::current() const
+{
+    return {.revision = this->revision,
+            .routes = this->chosen.state->routes,
+            .upstreams = this->chosen.state->upstreams.listed()};
+}
+
+std::uint64_t source_watcher::known_revision() const
+{
+    return this->has_snapshot ? this->revision : 0;
+}
+
+bool source_watcher::is_in_contact() const
+{
+    return this->has_contact;
+}
+
+void source_watcher::set_instances(std::size_t count)
+{
+    if (count <= this->most_instances)
+        return;
+    this->most_instances = count;
+    this->publish_upstreams();
+}
+
 asio::awaitable<void> source_watcher::run()
 {
     duration retry = first_retry;
@@ -186,12 +231,14 @@
         const auto endpoint = parse_endpoint(entry->spec.address);
         if (!endpoint)
             continue;
-        addresses.emplace(
-            id,
-            upstream_address{.endpoint = endpoint.value(),
-                             .connection_share = connection_share(
-                                 this->chosen.state->routes.get(), entry->spec),
-                             .state = entry->state});
+        const auto share = connection_share(this->chosen.state->routes.get(),
+                                            entry->spec, this->most_instances);
+        // Upstreams also shed while they have room, so that a refusal says
+        // little about their load.
+        addresses.emplace(id, upstream_address{.endpoint = endpoint.value(),
+                                               .connection_share = share,
+                                               .min_concurrency = share,
+                                               .state = entry->state});
     }
     this->chosen.upstreams->set_upstreams(std::move(addresses));
 }
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -8,7 +8,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <functional>
+#include <cstddef>
+#include <cstdint>
+#include <string>
 
 namespace wisteriahatch
 {
@@ -31,18 +33,34 @@
     // accepted.
     static constexpr std::chrono::milliseconds watch_wait{2500};
     // Pause after news, so that a burst of changes costs few calls.
-    static constexpr std::chrono::milliseconds news_pause{300};
+    static constexpr std::chrono::milliseconds news_pause{700};
     // Pauses after failed calls.
     static constexpr std::chrono::milliseconds first_retry{100};
     static constexpr std::chrono::milliseconds longest_retry{800};
 
+    // Instances that share the upstreams' connections until more are seen.
+    static constexpr std::size_t assumed_instances = 10;
+
     explicit source_watcher(options values);
 
     void start();
-    // Puts a newer version in force; an older one changes nothing.
-    void adopt(const route_table_ptr& routes, const char* origin);
+    // Takes a peer's routing when its revision is newer.
+    void adopt_snapshot(const routing_snapshot& snapshot,
+                        const std::string& peer);
+    // What this instance knows, for its peers.
+    routing_snapshot current() const;
+    // Revision of the source up to which changes are known.
+    std::uint64_t known_revision() const;
+    // False when the last call to the source failed.
+    bool is_in_contact() const;
+    // Tells how many instances live. Connections to upstreams are shared by
+    // the most that were ever seen: while some can't be seen, they still hold
+    // theirs.
+    void set_instances(std::size_t count);
 
 private:
+    // Puts a newer version in force; an older one changes nothing.
+    void adopt(const route_table_ptr& routes, const std::string& origin);
     boost::asio::awaitable<void> run();
     // Reads everything, or what has changed. Returns whether that worked.
     boost::asio::awaitable<bool> read();
@@ -61,6 +79,7 @@
     bool has_snapshot = false;
     bool has_contact = false;
     bool had_news = false;
+    std::size_t most_instances = assumed_instances;
 };
 
 }
--- /dev/null
+++ b/Tests/core/connection/upstream_choice.cpp
@@ -0,0 +1,106 @@
+#include "core/connection/upstream_choice.hpp"
+
+#include <doctest/doctest.h>
+#include <functional>
+#include <memory>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point now = time_point{} + 1h;
+
+std::shared_ptr<registered_upstream> make_upstream(const char* id,
+                                                   const char* domain)
+{
+    auto entry = std::make_shared<registered_upstream>();
+    entry->spec = {.id = id, .service = "s", .failure_domain = domain};
+    entry->state = std::make_shared<upstream_state>(id, domain, now - 1min);
+    // Both have answered in 10 ms.
+    entry->state->record_start(now - 20ms);
+    entry->state->record_success(10ms, now - 10ms);
+    return entry;
+}
+
+}
+
+// Guards against work for an upstream that is worse than another one in a way
+// that this instance has seen.
+TEST_CASE("the upstream that is expected to answer first is chosen")
+{
+    using change = std::function<void(registered_upstream&)>;
+    struct scenario
+    {
+        const char* what;
+        const char* first_domain;
+        const char* second_domain;
+        change worsen_first;
+    };
+    for (const auto& [what, first_domain, second_domain, worsen_first] :
+         std::vector<scenario>{
+             {"leaving", "near", "far",
+              [](registered_upstream& each) { each.leaving_since = now; }},
+             {"ejected", "near", "far",
+              [](registered_upstream& each)
+              {
+                  for (unsigned call = 0;
+                       call < upstream_state::ejection_failures; ++call)
+                  {
+                      each.state->record_start(now);
+                      each.state->record_failure(1ms, now);
+                  }
+              }},
+             {"in another failure domain", "far", "near",
+              [](registered_upstream&) {}},
+             {"busy", "near", "far",
+              [](registered_upstream& each)
+              {
+                  for (unsigned call = 0; call < 8; ++call)
+                      each.state->record_start(now);
+              }},
+             {"silent for 100 ms", "near", "far",
+              [](registered_upstream& each)
+              { each.state->record_start(now - 100ms); }},
+             {"failing every other attempt", "near", "near",
+              [](registered_upstream& each)
+              {
+                  for (unsigned call = 0; call < 4; ++call)
+                  {
+                      each.state->record_start(now);
+                      each.state->record_failure(1ms, now);
+                      each.state->record_start(now);
+                      each.state->record_success(10ms, now);
+                  }
+              }},
+             // Found on dialcraft-amman, day fresh-248f: each request to an
+             // upstream whose address had gone to another service arrived
+             // there, beyond the budget of that service.
+             {"replaced at its address", "near", "far",
+              [](registered_upstream& each)
+              { each.state->record_misdirection(now); }}})
+    {
+        CAPTURE(what);
+        const auto first = make_upstream("first", first_domain);
+        const auto second = make_upstream("second", second_domain);
+        worsen_first(*first);
+        std::mt19937_64 random(1);
+        for (unsigned round = 0; round < 20; ++round)
+            CHECK(choose_upstream({first, second}, "near", now, random) ==
+                  second);
+    }
+}
+
+// Guards against a request that is refused although an upstream is left, and
+// against one that is sent to a stranger at the upstream's old address.
+TEST_CASE("a last resort is chosen, but never a replaced upstream")
+{
+    std::mt19937_64 random(1);
+    const auto only = make_upstream("only", "far");
+    only->leaving_since = now;
+    CHECK(choose_upstream({only}, "near", now, random) == only);
+    only->state->record_misdirection(now);
+    CHECK(choose_upstream({only}, "near", now, random) == nullptr);
+    CHECK(choose_upstream({}, "near", now, random) == nullptr);
+}
--- /dev/null
+++ b/Tests/core/process/repeat_budgets.cpp
@@ -0,0 +1,63 @@
+#include "core/process/repeat_budgets.hpp"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+using namespace wisteriahatch;
+
+// Guards against instances that together send more repeats in some window than
+// a service bears. Each earns from its own requests only; the load moves
+// between them, and each repeats whenever it can.
+TEST_CASE("the repeats of all instances stay within ratio and slack")
+{
+    constexpr unsigned instances = 14;
+    constexpr unsigned steps = 4000;
+    constexpr unsigned window = 500;
+    constexpr double ratio = 0.18;
+    constexpr unsigned reserve = 4;
+    constexpr unsigned slack = instances * reserve;
+    std::mt19937_64 random(11);
+    std::deque<repeat_budgets> fleet;
+    for (unsigned each = 0; each < instances; ++each)
+        fleet.emplace_back(
+            repeat_budgets::options{.ratio = ratio, .reserve = reserve});
+    std::vector<unsigned> requests(steps);
+    std::vector<unsigned> repeats(steps);
+    for (unsigned step = 0; step < steps; ++step)
+    {
+        // A quiet phase saves up what a busy one then spends.
+        const bool is_busy = step / 300 % 2 == 1;
+        requests[step] = 3;
+        for (unsigned each = 0; each < requests[step]; ++each)
+            fleet[random() % instances].earn("s");
+        for (auto& instance : fleet)
+            while (is_busy && instance.spend("s"))
+                ++repeats[step];
+    }
+    for (unsigned from = 0; from + window <= steps; ++from)
+    {
+        double asked = 0;
+        unsigned sent = 0;
+        for (unsigned step = from; step < from + window; ++step)
+        {
+            asked += requests[step];
+            sent += repeats[step];
+        }
+        REQUIRE(sent <= ratio * asked + slack);
+    }
+}
+
+// Guards against one service that spends what another has earned.
+TEST_CASE("services have budgets of their own")
+{
+    repeat_budgets budgets({.ratio = 0.5, .reserve = 1});
+    CHECK(budgets.spend("a"));
+    CHECK_FALSE(budgets.spend("a"));
+    CHECK(budgets.spend("b"));
+    budgets.earn("a");
+    budgets.earn("a");
+    CHECK(budgets.spend("a"));
+    CHECK_FALSE(budgets.spend("b"));
+}
--- /dev/null
+++ b/Tests/net/message_headers.cpp
@@ -0,0 +1,40 @@
+#include "net/message_headers.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace wisteriahatch;
+
+// Guards against a header that concerns one connection and is passed on, where
+// it would change the framing or the life of another connection.
+TEST_CASE("only end-to-end headers are passed on")
+{
+    struct scenario
+    {
+        message_header header;
+        bool is_kept;
+    };
+    const message_header listed{"Connection", "close, X-Hop"};
+    for (const auto& [header, is_kept] :
+         {scenario{{"Accept", "*/*"}, true},
+          scenario{{"Request-Id", "1"}, true}, scenario{{"Host", "h"}, true},
+          scenario{{"X-Hop", "1"}, false},
+          scenario{{"Keep-Alive", "timeout=3"}, false},
+          scenario{{"TRANSFER-ENCODING", "chunked"}, false},
+          scenario{{"Content-Length", "3"}, false},
+          scenario{{"Expect", "100-continue"}, false},
+          scenario{{"Upgrade", "h2c"}, false},
+          scenario{{"Proxy-Connection", "keep-alive"}, false}})
+    {
+        CAPTURE(header.name);
+        const auto kept = end_to_end_headers({listed, header});
+        CHECK(kept.size() == (is_kept ? 1 : 0));
+    }
+}
+
+// Guards against a field that is missed because of its spelling.
+TEST_CASE("names are compared without case, and the first field counts")
+{
+    const message_headers headers{{"A-b", "1"}, {"a-B", "2"}};
+    CHECK(find_header(headers, "A-B") == "1");
+    CHECK_FALSE(find_header(headers, "a"));
+}
