gateway: Log to standard output without waiting, serve metrics, reload settings

Cause: SIGHUP ended the process, nothing told of a pause, and log lines went to standard error through a blocking appender. Lines now go to standard output through a bounded queue that drops and counts what nobody reads; requests that ended well are thinned to 20 lines a second, all others bounded at 200. Counters and histograms by route and service are served on the metrics address. SIGHUP and a changed file are reloads. A pause (steady clock) and a suspension (boot clock) drop idle connections. A call that is cancelled after 200 ms without a byte casts doubt on older connections of its upstream.

--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -93,6 +93,8 @@
     task->state->record_cancel();
     if (task->connection)
     {
+        if (task->connection->is_silent(now(), silence_limit))
+            this->idle.close_before(task->connection->number());
         task->connection->close();
         --this->busy;
     }
--- a/Libraries/net/upstream_client.hpp
+++ b/Libraries/net/upstream_client.hpp
@@ -40,6 +40,9 @@
     static constexpr std::chrono::seconds idle_check_interval{1};
     // Longest silence of a connection that counts as fresh.
     static constexpr std::chrono::seconds fresh_time{1};
+    // A call that is cancelled after so long without a byte of a reply casts
+    // doubt on the connections that were opened before its own.
+    static constexpr std::chrono::milliseconds silence_limit{200};
 
     upstream_client(asio::io_context& worker, std::string name,
                     upstream_address address, upstream_pool::options values,
--- a/Libraries/net/upstream_connection.cpp
+++ b/Libraries/net/upstream_connection.cpp
@@ -62,6 +62,7 @@
 {
     const auto started = std::chrono::steady_clock::now();
     this->is_usable = false;
+    this->waiting_since = started;
     const auto request = this->make_request(call, dialect, started);
 
     error_code failure;
@@ -78,6 +79,7 @@
         if (bytes == 0 || !was_silent)
             continue;
         was_silent = false;
+        this->waiting_since.reset();
         this->stream.expires_at(call.deadline);
     }
     if (failure)
@@ -140,6 +142,11 @@
     this->stream.socket().close(ignored);
 }
 
+bool upstream_connection::is_silent(time_point now, duration limit) const
+{
+    return this->waiting_since && now - *this->waiting_since > limit;
+}
+
 bool upstream_connection::is_reusable()
 {
     if (!this->is_usable)
--- a/Libraries/net/upstream_connection.hpp
+++ b/Libraries/net/upstream_connection.hpp
@@ -7,6 +7,7 @@
 #include "net/upstream_pool.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace wisteriahatch
 {
@@ -38,6 +39,9 @@
                                                 const upstream_dialect& dialect,
                                                 std::size_t max_reply_bytes);
     void close();
+    // True when a request was sent longer than `limit` ago and no byte of its
+    // reply has arrived.
+    bool is_silent(time_point now, duration limit) const;
 
     // False when the upstream has closed the connection or has sent bytes that
     // nobody asked for. They would be taken for the reply to the next request.
@@ -60,6 +64,8 @@
     tcp::endpoint endpoint;
     std::uint64_t opening_number;
     time_point heard{};
+    // When the request without a byte of a reply was sent; empty for none.
+    std::optional<time_point> waiting_since;
     bool is_usable = false;
 };
 
--- /dev/null
+++ b/Libraries/telemetry/forwarding_metrics.cpp
@@ -0,0 +1,160 @@
+#include "telemetry/forwarding_metrics.hpp"
+
+#include "telemetry/metric_families.hpp"
+
+#include <prometheus/text_serializer.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// The values of one label that have a series of their own.
+class label_values
+{
+public:
+    // Returns the value, or "other" when there are too many.
+    std::string_view limit(std::string_view value)
+    {
+        if (this->known.contains(value))
+            return value;
+        if (this->known.size() >= forwarding_metrics::max_label_values)
+            return "other";
+        this->known.emplace(value);
+        return value;
+    }
+
+private:
+    std::set<std::string, std::less<>> known;
+};
+
+}
+
+// The registry and one member a metric.
+class forwarding_metrics::implementation
+{
+public:
+    prometheus::Registry registry;
+    label_values routes;
+    label_values services;
+    histogram_family latency{
+        {.name = "wisteriahatch_request_duration_seconds",
+         .help = "Time from receipt of a request to its answer.",
+         .labels = {.first = "route", .second = "status"},
+         .bounds = latency_bounds}};
+    histogram_family coverage{
+        {.name = "wisteriahatch_request_coverage_ratio",
+         .help = "Shards in a merged answer over shards of the route.",
+         .labels = {.first = "route"},
+         .bounds = coverage_bounds}};
+    counter_family attempts{registry,
+                            "wisteriahatch_attempts_total",
+                            "Ended attempts at upstreams.",
+                            {.first = "service", .second = "end"}};
+    counter_family repeats{registry,
+                           "wisteriahatch_repeats_total",
+                           "Sends beyond the first of a leg.",
+                           {.first = "route"}};
+    prometheus::Gauge& version =
+        make_gauge(registry, "wisteriahatch_routes_version",
+                   "Version of the routes in force; 0 for none.");
+    prometheus::Gauge& source_age =
+        make_gauge(registry, "wisteriahatch_source_age_seconds",
+                   "Time since the configuration source was last heard.");
+    prometheus::Gauge& upstreams =
+        make_gauge(registry, "wisteriahatch_upstreams", "Known upstreams.");
+    prometheus::Gauge& members =
+        make_gauge(registry, "wisteriahatch_members_alive",
+                   "Members seen alive, this instance included.");
+    prometheus::Gauge& running =
+        make_gauge(registry, "wisteriahatch_running_requests",
+                   "Requests read and not yet answered.");
+    prometheus::Gauge& ready = make_gauge(registry, "wisteriahatch_ready",
+                                          "1 when the instance is ready.");
+    prometheus::Gauge& dropped_lines =
+        make_gauge(registry, "wisteriahatch_log_lines_dropped",
+                   "Log lines dropped because nobody read the output.");
+};
+
+forwarding_metrics::forwarding_metrics()
+    : state(std::make_unique<implementation>())
+{
+}
+
+forwarding_metrics::~forwarding_metrics() = default;
+
+void forwarding_metrics::observe_request(std::string_view route,
+                                         unsigned status, duration latency)
+{
+    this->state->latency.observe(seconds(latency),
+                                 this->state->routes.limit(route),
+                                 std::to_string(status));
+}
+
+void forwarding_metrics::observe_coverage(std::string_view route,
+                                          double coverage)
+{
+    this->state->coverage.observe(coverage, this->state->routes.limit(route));
+}
+
+void forwarding_metrics::count_attempt(std::string_view service,
+                                       std::string_view end)
+{
+    this->state->attempts.add(1, this->state->services.limit(service), end);
+}
+
+void forwarding_metrics::count_repeats(std::string_view route, double count)
+{
+    if (count > 0)
+        this->state->repeats.add(count, this->state->routes.limit(route));
+}
+
+void forwarding_metrics::set_routes_version(double version)
+{
+    this->state->version.Set(version);
+}
+
+void forwarding_metrics::set_source_age(duration age)
+{
+    this->state->source_age.Set(seconds(age));
+}
+
+void forwarding_metrics::set_upstreams(double count)
+{
+    this->state->upstreams.Set(count);
+}
+
+void forwarding_metrics::set_members(double alive)
+{
+    this->state->members.Set(alive);
+}
+
+void forwarding_metrics::set_running_requests(double count)
+{
+    this->state->running.Set(count);
+}
+
+void forwarding_metrics::set_ready(bool value)
+{
+    this->state->ready.Set(value ? 1 : 0);
+}
+
+void forwarding_metrics::set_dropped_log_lines(double count)
+{
+    this->state->dropped_lines.Set(count);
+}
+
+std::string forwarding_metrics::text() const
+{
+    std::vector<prometheus::MetricFamily> families =
+        this->state->registry.Collect();
+    families.push_back(this->state->latency.collect());
+    families.push_back(this->state->coverage.collect());
+    return prometheus::TextSerializer().Serialize(families);
+}
+
+}
--- /dev/null
+++ b/Libraries/telemetry/forwarding_metrics.hpp
@@ -0,0 +1,53 @@
+#ifndef WISTERIAHATCH_TELEMETRY_FORWARDING_METRICS_HPP
+#define WISTERIAHATCH_TELEMETRY_FORWARDING_METRICS_HPP
+
+#include "core/base/time.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace wisteriahatch
+{
+
+// The metrics of a process that forwards requests. Label values beyond the
+// first max_label_values of each label are counted together as "other", since
+// routes and services come and go.
+class forwarding_metrics
+{
+public:
+    static constexpr std::size_t max_label_values = 200;
+
+    forwarding_metrics();
+    ~forwarding_metrics();
+
+    // One answered request, by route and status.
+    void observe_request(std::string_view route, unsigned status,
+                         duration latency);
+    // Share of the shards in a merged answer.
+    void observe_coverage(std::string_view route, double coverage);
+    // One ended attempt at an upstream, by service and end.
+    void count_attempt(std::string_view service, std::string_view end);
+    // Sends beyond the first of a leg, by route.
+    void count_repeats(std::string_view route, double count);
+    // Current values.
+    void set_routes_version(double version);
+    void set_source_age(duration age);
+    void set_upstreams(double count);
+    void set_members(double alive);
+    void set_running_requests(double count);
+    void set_ready(bool value);
+    void set_dropped_log_lines(double count);
+
+    // Text exposition format for GET /metrics.
+    std::string text() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> state;
+};
+
+}
+
+#endif
--- a/Libraries/telemetry/log.cpp
+++ b/Libraries/telemetry/log.cpp
@@ -1,12 +1,15 @@
 #include "telemetry/log.hpp"
 
+#include "telemetry/output_queue.hpp"
+
 #include <algorithm>
 #include <array>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <memory>
+#include <unistd.h>
 
 namespace wisteriahatch
 {
@@ -29,6 +32,34 @@
     {"error", log4cplus::ERROR_LOG_LEVEL},
 }};
 
+// Lives as long as the process, so that a late event finds it.
+output_queue& standard_output()
+{
+    static auto* const queue = new output_queue(STDOUT_FILENO);
+    return *queue;
+}
+
+// Hands each line to standard output without waiting for its reader.
+class standard_output_appender : public log4cplus::Appender
+{
+public:
+    ~standard_output_appender() override
+    {
+        this->destructorImpl();
+    }
+
+    void close() override
+    {
+        this->closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        standard_output().write(this->formatEvent(event));
+    }
+};
+
 bool needs_quotes(std::string_view value)
 {
     return value.empty() ||
@@ -115,8 +146,7 @@
     if (chosen == levels.end())
         return false;
     log4cplus::initialize();
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new standard_output_appender);
     std::string pattern = "time=%d{%Y-%m-%dT%H:%M:%S.%q}Z program=";
     pattern += program;
     pattern += " %m%n";
@@ -139,4 +169,9 @@
     root.forcedLog(value, format_event(level, event, fields));
 }
 
+std::uint64_t dropped_log_lines()
+{
+    return standard_output().dropped();
+}
+
 }
--- a/Libraries/telemetry/log.hpp
+++ b/Libraries/telemetry/log.hpp
@@ -25,7 +25,9 @@
     std::string value;
 };
 
-// Sets up log4cplus to write to standard error: time, level, event, fields.
+// Sets up log4cplus to write to standard output: time, level, event, fields. A
+// line never waits for a reader of the output; see output_queue. Called again
+// it changes the level.
 // `level` is debug, info, warning or error; returns false for another name.
 bool start_logging(std::string_view program, std::string_view level);
 
@@ -39,6 +41,9 @@
 void log_event(log_level level, std::string_view event,
                std::initializer_list<log_field> fields = {});
 
+// Lines dropped so far because nobody read the output.
+std::uint64_t dropped_log_lines();
+
 }
 
 #endif
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -1,7 +1,6 @@
 #include "forwarder.hpp"
 
 #include "core/request/record_merge.hpp"
-#include "telemetry/log.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -55,12 +54,6 @@
     return std::min(timeout, milliseconds(value));
 }
 
-std::string to_text(duration value)
-{
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(value).count());
-}
-
 // A refusal that promises that the request has not run and never will.
 http_reply make_unavailable(const std::string& message)
 {
@@ -83,30 +76,11 @@
     return reply;
 }
 
-// Returns the services without an answer, each with its sends, how the last
-// one failed and how many still ran: "quotes:2:refused:1".
-std::string describe_lacked(const std::vector<std::string>& services,
-                            const std::vector<fan_out::leg_outcome>& legs)
-{
-    std::string text;
-    for (std::size_t index = 0; index < legs.size(); ++index)
-    {
-        const auto& leg = legs[index];
-        if (leg.answer)
-            continue;
-        if (!text.empty())
-            text += ',';
-        text += services[index] + ":" + std::to_string(leg.sends) + ":";
-        text += leg.last_failure ? to_string(*leg.last_failure) : "none";
-        text += ":" + std::to_string(leg.running);
-    }
-    return text;
-}
-
 }
 
 forwarder::forwarder(options values)
     : chosen(std::move(values))
+    , log(*this->chosen.measures)
 {
 }
 
@@ -147,33 +121,27 @@
                                  .deadline = accepted.deadline,
                                  .priority = route.priority,
                                  .is_scattered = route.is_scattered(),
-                                 .plan = std::move(plan)});
+                                 .plan = std::move(plan),
+                                 .measures = this->chosen.measures});
     auto outcome = co_await session->run();
     if (!outcome)
     {
-        log_event(log_level::info, "request_abandoned",
-                  {{"id", accepted.id},
-                   {"route", route.name},
-                   {"elapsed_ms", to_text(clock_now() - accepted.received)}});
+        this->log.record_abandoned(accepted, clock_now());
         co_return http_reply{};
     }
     co_return this->make_reply(accepted, std::move(*outcome));
 }
 
 http_reply forwarder::refuse_unrouted(const http_request& request,
-                                      const std::string& id) const
+                                      const std::string& id)
 {
     const auto& state = *this->chosen.state;
     const bool may_be_stale = clock_now() - state.source_heard > stale_source;
     const bool is_unknown = !state.routes || may_be_stale;
-    log_event(
-        log_level::warning, "request_unrouted",
-        {{"id", id},
-         {"target", request.target},
-         {"version",
-          state.routes ? std::to_string(state.routes->version()) : "none"},
-         {"source_age_ms", to_text(clock_now() - state.source_heard)},
-         {"status", is_unknown ? "503" : "404"}});
+    this->log.record_unrouted(
+        id, request, state.routes ? state.routes->version() : 0,
+        clock_now() - state.source_heard,
+        is_unknown ? status_unavailable : status_not_found, clock_now());
     if (is_unknown)
         return make_unavailable("no current routes are known here; retry");
     return make_error_reply(status_not_found,
@@ -212,7 +180,7 @@
 }
 
 http_reply forwarder::make_reply(const accepted_request& accepted,
-                                 forwarded_request outcome) const
+                                 forwarded_request outcome)
 {
     http_reply reply;
     const auto& route = *accepted.route;
@@ -233,7 +201,7 @@
             status_bad_gateway,
             {error_kind::truncated_reply,
              "no usable answer was had; the request may have run"});
-    this->log_outcome(accepted, outcome, reply.status);
+    this->log.record_end(accepted, outcome, reply.status, clock_now());
     return reply;
 }
 
@@ -263,20 +231,4 @@
     return reply;
 }
 
-void forwarder::log_outcome(const accepted_request& accepted,
-                            const forwarded_request& outcome, unsigned status)
-{
-    log_event(log_level::info, "request_ended",
-              {{"id", accepted.id},
-               {"route", accepted.route->name},
-               {"version", std::to_string(accepted.routes->version())},
-               {"result", std::string(to_string(outcome.result))},
-               {"status", std::to_string(status)},
-               {"lacked", describe_lacked(accepted.services, outcome.legs)},
-               {"sends", std::to_string(outcome.sends)},
-               {"repeats", std::to_string(outcome.repeats)},
-               {"left_ms", to_text(accepted.deadline - clock_now())},
-               {"elapsed_ms", to_text(clock_now() - accepted.received)}});
-}
-
 }
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -36,6 +36,17 @@
 
 constexpr unsigned status_unavailable = 503;
 
+constexpr const char* program_name = "wisteriahatch-gateway";
+constexpr std::chrono::seconds settings_poll{2};
+
+// Returns when the file was last written; the epoch when it can't be read.
+std::filesystem::file_time_type written_at(const std::string& path)
+{
+    std::error_code failure;
+    const auto time = std::filesystem::last_write_time(path, failure);
+    return failure ? std::filesystem::file_time_type{} : time;
+}
+
 // What the pool needs to know about opaque requests.
 upstream_pool::options
 make_pool_options(std::shared_ptr<const upstream_dialect> dialect)
@@ -80,10 +91,11 @@
 
 }
 
-gateway_process::gateway_process(gateway_settings chosen,
+gateway_process::gateway_process(std::string path, gateway_settings chosen,
                                  std::unique_ptr<configuration_source> origin,
                                  forwarding_headers names)
-    : values(std::move(chosen))
+    : settings_path(std::move(path))
+    , values(std::move(chosen))
     , source(std::move(origin))
     , dialect(make_forwarding_dialect(names))
     , state{.routes = nullptr,
@@ -105,7 +117,8 @@
                 .upstreams = &this->upstreams,
                 .dialect = this->dialect,
                 .names = std::move(names),
-                .failure_domain = this->values.failure_domain})
+                .failure_domain = this->values.failure_domain,
+                .measures = &this->measures})
     , caller_server(this->workers,
                     {.listen = this->values.caller_address,
                      .limits = [this] { return this->read_limits(); }},
@@ -114,7 +127,19 @@
     , ready_server(this->workers, {.listen = this->values.ready_address},
                    [this](http_request request)
                    { return this->answer_ready(std::move(request)); })
+    , pauses(this->workers.at(0),
+             [this](duration length) { this->handle_pause(length); })
+    , reload_signal(this->workers.at(0), SIGHUP)
+    , reload_timer(this->workers.at(0))
+    , settings_written(written_at(this->settings_path))
+    , shutdown_grace(this->values.shutdown_grace)
 {
+    if (this->values.metrics_address)
+        this->metrics_server.emplace(
+            this->workers,
+            http_server::options{.listen = *this->values.metrics_address},
+            [this](http_request request)
+            { return this->answer_metrics(std::move(request)); });
     if (this->values.peer_address)
         this->peer_server.emplace(
             this->workers,
@@ -135,14 +160,19 @@
     {
         BOOST_OUTCOME_TRY(server->start());
     }
-    if (this->peer_server)
+    for (auto* server : {&this->peer_server, &this->metrics_server})
     {
-        BOOST_OUTCOME_TRY(this->peer_server->start());
+        if (*server)
+        {
+            BOOST_OUTCOME_TRY((*server)->start());
+        }
     }
     asio::post(this->workers.at(0),
                [this]
                {
                    this->watcher.start();
+                   this->pauses.start();
+                   this->watch_settings();
                    if (this->peer_server)
                        this->peers.start();
                });
@@ -158,12 +188,14 @@
 void gateway_process::drain()
 {
     const auto started = std::chrono::steady_clock::now();
-    log_event(log_level::info, "shutdown_started");
+    const auto grace = this->shutdown_grace.load();
+    log_event(log_level::info, "shutdown_started",
+              {{"grace_ms", std::to_string(grace.count())}});
     this->is_draining = true;
     this->caller_server.begin_drain();
-    std::this_thread::sleep_for(this->values.shutdown_grace * listening_share);
+    std::this_thread::sleep_for(grace * listening_share);
     this->caller_server.stop_accepting();
-    const auto last = started + this->values.shutdown_grace - grace_margin;
+    const auto last = started + grace - grace_margin;
     while (this->caller_server.running_requests() > 0 &&
            std::chrono::steady_clock::now() < last)
         std::this_thread::sleep_for(drain_poll);
@@ -182,6 +214,83 @@
     co_return reply;
 }
 
+asio::awaitable<http_reply> gateway_process::answer_metrics(http_request)
+{
+    const auto now = std::chrono::steady_clock::now();
+    this->measures.set_routes_version(
+        this->state.routes ? static_cast<double>(this->state.routes->version())
+                           : 0);
+    this->measures.set_source_age(now - this->state.source_heard);
+    this->measures.set_upstreams(
+        static_cast<double>(this->state.upstreams.all().size()));
+    this->measures.set_members(static_cast<double>(this->peers.live_members()));
+    this->measures.set_running_requests(
+        static_cast<double>(this->caller_server.running_requests()));
+    this->measures.set_ready(this->is_ready());
+    this->measures.set_dropped_log_lines(
+        static_cast<double>(dropped_log_lines()));
+    http_reply reply;
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = this->measures.text();
+    co_return reply;
+}
+
+void gateway_process::watch_settings()
+{
+    this->reload_signal.async_wait(
+        [this](boost::system::error_code failure, int)
+        {
+            if (failure)
+                return;
+            this->reload("signal");
+            this->reload_timer.cancel();
+            this->watch_settings();
+        });
+    this->reload_timer.expires_after(settings_poll);
+    this->reload_timer.async_wait(
+        [this](boost::system::error_code failure)
+        {
+            if (failure)
+                return;
+            if (written_at(this->settings_path) != this->settings_written)
+                this->reload("file changed");
+            this->reload_signal.cancel();
+            this->watch_settings();
+        });
+}
+
+void gateway_process::reload(const std::string& cause)
+{
+    this->settings_written = written_at(this->settings_path);
+    auto changed = read_gateway_settings(this->settings_path);
+    if (!changed)
+    {
+        log_event(log_level::error, "reload_failed",
+                  {{"cause", cause}, {"reason", changed.error().message}});
+        return;
+    }
+    this->shutdown_grace = changed.value().shutdown_grace;
+    this->state.budgets.set_options(make_budgets(changed.value()));
+    start_logging(program_name, changed.value().log_level);
+    log_event(
+        log_level::info, "reloaded",
+        {{"cause", cause},
+         {"grace_ms", std::to_string(changed.value().shutdown_grace.count())}});
+}
+
+void gateway_process::handle_pause(duration length)
+{
+    log_event(
+        log_level::warning, "pause_detected",
+        {{"length_ms",
+          std::to_string(
+              std::chrono::duration_cast<std::chrono::milliseconds>(length)
+                  .count())}});
+    // Upstreams have closed or forgotten what was idle for so long.
+    this->upstreams.close_idle();
+    this->peers.handle_pause();
+}
+
 asio::awaitable<http_reply> gateway_process::answer_peer(http_request request)
 {
     http_reply reply;
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -7,13 +7,20 @@
 #include "net/http_server.hpp"
 #include "net/upstream_pool.hpp"
 #include "net/worker_pool.hpp"
+#include "pause_watch.hpp"
 #include "peer_exchange.hpp"
 #include "settings.hpp"
 #include "source_watcher.hpp"
+#include "telemetry/forwarding_metrics.hpp"
 
 #include <atomic>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <filesystem>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace wisteriahatch
 {
@@ -23,7 +30,8 @@
 class gateway_process
 {
 public:
-    gateway_process(gateway_settings chosen,
+    // `path` is the settings file, which is read again when it changes.
+    gateway_process(std::string path, gateway_settings chosen,
                     std::unique_ptr<configuration_source> source,
                     forwarding_headers names);
     ~gateway_process();
@@ -36,10 +44,17 @@
     boost::asio::awaitable<http_reply> answer_ready(http_request request);
     boost::asio::awaitable<http_reply> answer_peer(http_request request);
     http_limits read_limits() const;
+    boost::asio::awaitable<http_reply> answer_metrics(http_request request);
     bool is_ready() const;
+    void watch_settings();
+    // Adopts what may change while the process runs.
+    void reload(const std::string& cause);
+    void handle_pause(duration length);
     void drain();
 
+    std::string settings_path;
     gateway_settings values;
+    forwarding_metrics measures;
     std::unique_ptr<configuration_source> source;
     std::shared_ptr<const upstream_dialect> dialect;
     // One thread: an instance has a fraction of a core.
@@ -53,6 +68,13 @@
     http_server ready_server;
     // Absent where there are no peers.
     std::optional<http_server> peer_server;
+    // Absent where metrics are not served.
+    std::optional<http_server> metrics_server;
+    pause_watch pauses;
+    boost::asio::signal_set reload_signal;
+    boost::asio::steady_timer reload_timer;
+    std::filesystem::file_time_type settings_written;
+    std::atomic<std::chrono::milliseconds> shutdown_grace;
     std::atomic<bool> is_draining{false};
 };
 
--- a/Programs/gateway/main.cpp
+++ b/Programs/gateway/main.cpp
@@ -4,6 +4,7 @@
 #include "settings.hpp"
 #include "telemetry/log.hpp"
 
+#include <csignal>
 #include <cstdlib>
 #include <gflags/gflags.h>
 #include <iostream>
@@ -22,6 +23,9 @@
 
 int main(int argument_count, char** arguments)
 {
+    // A reload that is asked for before the process listens for it must not end
+    // the process; the settings are about to be read anyway.
+    std::signal(SIGHUP, SIG_IGN);
     gflags::SetUsageMessage(
         "forwarding instance of the query tier\n"
         "usage: wisteriahatch-gateway --settings=FILE\n"
@@ -47,9 +51,9 @@
                                  values.value().log_level);
     auto store = std::make_unique<wisteriahatch::store_client>(
         values.value().store_address);
-    wisteriahatch::gateway_process process(std::move(values.value()),
-                                           std::move(store),
-                                           wisteriahatch::platform_headers());
+    wisteriahatch::gateway_process process(
+        FLAGS_settings, std::move(values.value()), std::move(store),
+        wisteriahatch::platform_headers());
     auto finished = process.run();
     if (finished)
         return EXIT_SUCCESS;
--- /dev/null
+++ b/Programs/gateway/pause_watch.cpp
@@ -0,0 +1,68 @@
+#include "pause_watch.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick_interval{100};
+
+time_point clock_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// Time since the machine started, suspensions included.
+duration boot_time()
+{
+    timespec value{};
+    ::clock_gettime(CLOCK_BOOTTIME, &value);
+    return std::chrono::seconds(value.tv_sec) +
+           std::chrono::nanoseconds(value.tv_nsec);
+}
+
+}
+
+pause_watch::pause_watch(boost::asio::io_context& worker, handler chosen)
+    : timer(worker)
+    , handle(std::move(chosen))
+    , pauses(clock_now())
+    , last_tick(clock_now())
+    , last_boot(boot_time())
+{
+}
+
+void pause_watch::start()
+{
+    this->timer.expires_after(tick_interval);
+    this->timer.async_wait(
+        [this](boost::system::error_code failure)
+        {
+            if (failure)
+                return;
+            this->tick();
+            this->start();
+        });
+}
+
+void pause_watch::tick()
+{
+    const auto now = clock_now();
+    const auto boot = boot_time();
+    const auto ran = now - this->last_tick;
+    const auto passed = std::max(boot - this->last_boot, ran);
+    this->last_tick = now;
+    this->last_boot = boot;
+    const bool was_stopped = this->pauses.tick(now);
+    const bool was_suspended = passed - ran > pause_detector::threshold;
+    if (was_stopped || was_suspended)
+        this->handle(passed);
+}
+
+}
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -60,6 +60,16 @@
     this->peers.stop();
 }
 
+std::size_t peer_exchange::live_members() const
+{
+    return this->members.members().live_addresses().size();
+}
+
+void peer_exchange::handle_pause()
+{
+    this->members.handle_pause(clock_now());
+}
+
 std::string peer_exchange::handle_message(const std::string& message)
 {
     return this->methods.handle(message);
@@ -145,8 +155,7 @@
         announced = revision;
         for (const auto& each : this->members.handle_timer(now))
             this->exchange(each);
-        this->chosen.watcher->set_instances(
-            this->members.members().live_addresses().size());
+        this->chosen.watcher->set_instances(this->live_members());
         timer.expires_at(std::min(now + longest_timer_period,
                                   std::max(this->members.next_timer(), now)));
         boost::system::error_code ignored;
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -43,6 +43,10 @@
     void start();
     // Waits for calls to peers. Call before the worker stops.
     void stop();
+    // Members that are alive or suspect, this instance included.
+    std::size_t live_members() const;
+    // The process stood still: the others had no chance to answer.
+    void handle_pause();
     // Answers a JSON-RPC message of another instance.
     std::string handle_message(const std::string& message);
 
--- /dev/null
+++ b/Programs/gateway/request_log.cpp
@@ -0,0 +1,125 @@
+#include "request_log.hpp"
+
+#include "telemetry/log.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+std::string to_text(duration value)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+// Returns the services without an answer, each with its sends, how the last
+// one failed and how many still ran: "quotes:2:refused:1".
+std::string describe_lacked(const std::vector<std::string>& services,
+                            const std::vector<fan_out::leg_outcome>& legs)
+{
+    std::string text;
+    for (std::size_t index = 0; index < legs.size(); ++index)
+    {
+        const auto& leg = legs[index];
+        if (leg.answer)
+            continue;
+        if (!text.empty())
+            text += ',';
+        text += services[index] + ":" + std::to_string(leg.sends) + ":";
+        text += leg.last_failure ? to_string(*leg.last_failure) : "none";
+        text += ":" + std::to_string(leg.running);
+    }
+    return text;
+}
+
+// Returns how many legs have an answer.
+std::size_t count_answers(const std::vector<fan_out::leg_outcome>& legs)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(legs, [](const fan_out::leg_outcome& leg)
+                              { return leg.answer.has_value(); }));
+}
+
+}
+
+request_log::request_log(forwarding_metrics& values)
+    : measures(&values)
+{
+}
+
+void request_log::record_end(const accepted_request& accepted,
+                             const forwarded_request& outcome, unsigned status,
+                             time_point now)
+{
+    const auto& route = *accepted.route;
+    const auto elapsed = now - accepted.received;
+    const auto answers = count_answers(outcome.legs);
+    this->measures->observe_request(route.name, status, elapsed);
+    this->measures->count_repeats(route.name, outcome.repeats);
+    if (route.is_scattered() && outcome.result == fan_out_result::answered)
+        this->measures->observe_coverage(
+            route.name, static_cast<double>(answers) /
+                            static_cast<double>(outcome.legs.size()));
+    const bool is_plain = outcome.result == fan_out_result::answered &&
+                          answers == outcome.legs.size() &&
+                          outcome.repeats == 0 &&
+                          elapsed <= accepted.target_latency;
+    const auto left_out = (is_plain ? this->plain : this->other).admit(now);
+    if (!left_out)
+        return;
+    log_event(is_plain ? log_level::info : log_level::warning, "request_ended",
+              {{"id", accepted.id},
+               {"route", route.name},
+               {"version", std::to_string(accepted.routes->version())},
+               {"result", std::string(to_string(outcome.result))},
+               {"status", std::to_string(status)},
+               {"legs", std::to_string(outcome.legs.size())},
+               {"lacked", describe_lacked(accepted.services, outcome.legs)},
+               {"upstreams", outcome.upstreams},
+               {"sends", std::to_string(outcome.sends)},
+               {"repeats", std::to_string(outcome.repeats)},
+               {"elapsed_ms", to_text(elapsed)},
+               {"left_ms", to_text(accepted.deadline - now)},
+               {"left_out", std::to_string(*left_out)}});
+}
+
+void request_log::record_abandoned(const accepted_request& accepted,
+                                   time_point now)
+{
+    const auto left_out = this->other.admit(now);
+    if (!left_out)
+        return;
+    log_event(log_level::info, "request_abandoned",
+              {{"id", accepted.id},
+               {"route", accepted.route->name},
+               {"version", std::to_string(accepted.routes->version())},
+               {"elapsed_ms", to_text(now - accepted.received)},
+               {"left_out", std::to_string(*left_out)}});
+}
+
+void request_log::record_unrouted(const std::string& id,
+                                  const http_request& request,
+                                  std::uint64_t version, duration source_age,
+                                  unsigned status, time_point now)
+{
+    this->measures->observe_request("none", status, duration(0));
+    const auto left_out = this->other.admit(now);
+    if (!left_out)
+        return;
+    log_event(log_level::warning, "request_unrouted",
+              {{"id", id},
+               {"host",
+                std::string(find_header(request.headers, "host").value_or(""))},
+               {"target", request.target},
+               {"version", std::to_string(version)},
+               {"source_age_ms", to_text(source_age)},
+               {"status", std::to_string(status)},
+               {"left_out", std::to_string(*left_out)}});
+}
+
+}
--- /dev/null
+++ b/Programs/gateway/request_log.hpp
@@ -0,0 +1,58 @@
+#ifndef WISTERIAHATCH_GATEWAY_REQUEST_LOG_HPP
+#define WISTERIAHATCH_GATEWAY_REQUEST_LOG_HPP
+
+#include "core/process/line_budget.hpp"
+#include "core/version/route_table.hpp"
+#include "net/http_server.hpp"
+#include "request_session.hpp"
+#include "telemetry/forwarding_metrics.hpp"
+
+#include <string>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// What is known of a request before it is sent.
+struct accepted_request
+{
+    std::string id;
+    route_table_ptr routes;
+    const route_spec* route = nullptr;
+    // The services of its legs.
+    std::vector<std::string> services;
+    time_point received;
+    time_point deadline;
+    duration target_latency{0};
+};
+
+// Logs and counts what became of each request. Requests that ended well and in
+// time, complete and without a repeat, are thinned to most_plain_lines a
+// second; all others are written up to most_other_lines.
+class request_log
+{
+public:
+    static constexpr unsigned most_plain_lines = 20;
+    static constexpr unsigned most_other_lines = 200;
+
+    explicit request_log(forwarding_metrics& measures);
+
+    void record_end(const accepted_request& accepted,
+                    const forwarded_request& outcome, unsigned status,
+                    time_point now);
+    void record_abandoned(const accepted_request& accepted, time_point now);
+    // A request without a route, answered with this status. `version` is 0
+    // when no routes are known.
+    void record_unrouted(const std::string& id, const http_request& request,
+                         std::uint64_t version, duration source_age,
+                         unsigned status, time_point now);
+
+private:
+    forwarding_metrics* measures;
+    line_budget plain{most_plain_lines};
+    line_budget other{most_other_lines};
+};
+
+}
+
+#endif
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -98,6 +98,7 @@
     this->calls.emplace(attempt,
                         running_call{.id = {},
                                      .upstream = action.upstream->state,
+                                     .service = action.upstream->spec.service,
                                      .started = now});
     // The handler never runs before start() returns.
     this->calls.at(attempt).id = this->chosen.upstreams->start(
@@ -161,6 +162,7 @@
     if (ended.empty() || ended.mapped().is_released || this->has_ended)
         return;
     const auto end = this->judge(attempt, result);
+    this->record(ended.mapped(), end);
     this->apply(this->decisions.handle_end(attempt, end, clock_now()));
 }
 
@@ -188,6 +190,17 @@
     return attempt_end::failed;
 }
 
+void request_session::record(const running_call& call, attempt_end end)
+{
+    this->chosen.measures->count_attempt(call.service, to_string(end));
+    if (this->chosen.is_scattered)
+        return;
+    auto& text = this->outcome.upstreams;
+    if (!text.empty())
+        text += ',';
+    text += call.upstream->name() + ":" + std::string(to_string(end));
+}
+
 void request_session::handle_caller_gone()
 {
     if (this->has_ended)
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -5,6 +5,7 @@
 #include "net/forwarding_headers.hpp"
 #include "net/http_server.hpp"
 #include "net/upstream_pool.hpp"
+#include "telemetry/forwarding_metrics.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -29,6 +30,9 @@
     // An upstream's own failure, which its caller gets where there is no
     // answer.
     std::optional<upstream_reply> failure;
+    // The upstreams of a request with one leg, in the order of the sends, with
+    // the end of each: "i-1:refused,i-2:answered".
+    std::string upstreams;
     unsigned sends = 0;
     unsigned repeats = 0;
 };
@@ -51,6 +55,7 @@
         // The answers are parts of a merged one; only successes are parts.
         bool is_scattered = false;
         fan_out::options plan;
+        forwarding_metrics* measures = nullptr;
     };
 
     // Attempts whose answer is not needed any more keep their connection this
@@ -69,6 +74,7 @@
     {
         upstream_call_id id;
         std::shared_ptr<upstream_state> upstream;
+        std::string service;
         time_point started;
         bool is_released = false;
     };
@@ -81,6 +87,8 @@
     void end_attempt(attempt_id attempt, upstream_result outcome);
     // Keeps the reply when it is one to pass on.
     attempt_end judge(attempt_id attempt, upstream_result& outcome);
+    // Notes the end of an attempt for the log and the metrics.
+    void record(const running_call& call, attempt_end end);
     void handle_caller_gone();
     void cancel_released();
 
