--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -35,9 +35,10 @@
     const unsigned most = spec.slots + 1;
     if (limits == nullptr)
         return 1;
-    const auto part =
-        limits->max_connections / static_cast<unsigned>(instances);
-    return std::clamp(part, 1U, most);
+    const double part = source_watcher::connection_use_ratio *
+                        limits->max_connections /
+                        static_cast<double>(instances);
+    return std::clamp(static_cast<unsigned>(part), 1U, most);
 }
 
 }
@@ -46,6 +47,7 @@
     : chosen(values)
     , pause_timer(*values.worker)
     , expiry_timer(*values.worker)
+    , started(clock_now())
 {
 }
 
@@ -109,9 +111,13 @@
 
 void source_watcher::set_instances(std::size_t count)
 {
-    if (count <= this->most_instances)
+    this->most_instances = std::max(this->most_instances, count);
+    const bool is_settled = clock_now() - this->started > settling_time;
+    const auto sharing = is_settled ? this->most_instances
+                                    : std::max(assumed_instances, count);
+    if (sharing == this->sharing_instances)
         return;
-    this->most_instances = count;
+    this->sharing_instances = sharing;
     this->publish_upstreams();
 }
 
@@ -232,7 +238,7 @@
         if (!endpoint)
             continue;
         const auto share = connection_share(this->chosen.state->routes.get(),
-                                            entry->spec, this->most_instances);
+                                            entry->spec, this->sharing_instances);
         // Upstreams also shed while they have room, so that a refusal says
         // little about their load.
         addresses.emplace(id, upstream_address{.endpoint = endpoint.value(),
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -38,8 +38,15 @@
     static constexpr std::chrono::milliseconds first_retry{100};
     static constexpr std::chrono::milliseconds longest_retry{800};
 
-    // Instances that share the upstreams' connections until more are seen.
-    static constexpr std::size_t assumed_instances = 10;
+    // Instances that share the upstreams' connections, as long as this one may
+    // not yet have seen all of them: an upstream still holds the connections of
+    // processes that lost power, and resets what exceeds its limit.
+    static constexpr std::size_t assumed_instances = 30;
+    static constexpr std::chrono::seconds settling_time{3};
+    // Fewest instances that are reckoned with afterwards.
+    static constexpr std::size_t fewest_instances = 5;
+    // Part of an upstream's connections that all instances use together.
+    static constexpr double connection_use_ratio = 0.65;
 
     explicit source_watcher(options values);
 
@@ -79,7 +86,11 @@
     bool has_snapshot = false;
     bool has_contact = false;
     bool had_news = false;
-    std::size_t most_instances = assumed_instances;
+    time_point started;
+    // The most that were seen.
+    std::size_t most_instances = fewest_instances;
+    // The number by which connections are shared now.
+    std::size_t sharing_instances = assumed_instances;
 };
 
 }
