--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -95,6 +95,13 @@
     call.use = needs_fresh ? connection_use::fresh : connection_use::any;
     ++this->outcome.sends;
     const auto attempt = action.attempt;
+    // A call that still waits for a connection when its answer is not needed
+    // any more would only load the upstream.
+    call.before_send = [weak = this->weak_from_this(), attempt]
+    {
+        const auto self = weak.lock();
+        return self && self->is_wanted(attempt);
+    };
     this->calls.emplace(attempt,
                         running_call{.id = {},
                                      .upstream = action.upstream->state,
@@ -166,6 +173,12 @@
     this->apply(this->decisions.handle_end(attempt, end, clock_now()));
 }
 
+bool request_session::is_wanted(attempt_id attempt) const
+{
+    const auto found = this->calls.find(attempt);
+    return found != this->calls.end() && !found->second.is_released;
+}
+
 attempt_end request_session::judge(attempt_id attempt, upstream_result& result)
 {
     if (!result)
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -60,7 +60,7 @@
 
     // Attempts whose answer is not needed any more keep their connection this
     // long, so that it can be used again.
-    static constexpr std::chrono::milliseconds linger_time{250};
+    static constexpr std::chrono::milliseconds linger_time{40};
 
     explicit request_session(options values);
 
@@ -85,6 +85,8 @@
     void act(const fan_out::wake& action);
     void act(const fan_out::finish& action);
     void end_attempt(attempt_id attempt, upstream_result outcome);
+    // False when the attempt's answer is not needed any more.
+    bool is_wanted(attempt_id attempt) const;
     // Keeps the reply when it is one to pass on.
     attempt_end judge(attempt_id attempt, upstream_result& outcome);
     // Notes the end of an attempt for the log and the metrics.
