--- a/Programs/gateway/main.cpp
+++ b/Programs/gateway/main.cpp
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <utility>
 
 DEFINE_string(settings, "", "path of the INI settings file (required)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -19,6 +20,25 @@
 
 constexpr int exit_usage = 2;
 
+// Serves until a signal asks for the end. Does not return: log4cplus joins its
+// idle threads in a static destructor, which has kept a stopped process for
+// seconds until it was killed, and nothing is left to be released then.
+[[noreturn]] void run(wisteriahatch::gateway_settings values)
+{
+    const auto store_address = values.store_address;
+    auto finished =
+        wisteriahatch::gateway_process(
+            FLAGS_settings, std::move(values),
+            std::make_unique<wisteriahatch::store_client>(store_address),
+            wisteriahatch::platform_headers())
+            .run();
+    if (finished)
+        std::quick_exit(EXIT_SUCCESS);
+    wisteriahatch::log_event(wisteriahatch::log_level::error, "start_failed",
+                             {{"reason", finished.error().message}});
+    std::quick_exit(EXIT_FAILURE);
+}
+
 }
 
 int main(int argument_count, char** arguments)
@@ -49,15 +69,5 @@
         return EXIT_SUCCESS;
     wisteriahatch::start_logging("wisteriahatch-gateway",
                                  values.value().log_level);
-    auto store = std::make_unique<wisteriahatch::store_client>(
-        values.value().store_address);
-    wisteriahatch::gateway_process process(
-        FLAGS_settings, std::move(values.value()), std::move(store),
-        wisteriahatch::platform_headers());
-    auto finished = process.run();
-    if (finished)
-        return EXIT_SUCCESS;
-    wisteriahatch::log_event(wisteriahatch::log_level::error, "start_failed",
-                             {{"reason", finished.error().message}});
-    return EXIT_FAILURE;
+    run(std::move(values.value()));
 }
