--- /dev/null
+++ b/Libraries/core/process/fleet_share.cpp
@@ -0,0 +1,29 @@
+#include "core/process/fleet_share.hpp"
+
+#include <algorithm>
+
+namespace wisteriahatch
+{
+
+fleet_share::fleet_share(time_point now)
+    : started(now)
+{
+}
+
+bool fleet_share::update(std::size_t seen, time_point now)
+{
+    this->most_seen = std::max(this->most_seen, seen);
+    const bool is_settled = now - this->started > settling_time;
+    const auto next = is_settled ? this->most_seen
+                                 : std::max(assumed_instances, this->most_seen);
+    const bool has_changed = next != this->current;
+    this->current = next;
+    return has_changed;
+}
+
+std::size_t fleet_share::instances() const
+{
+    return this->current;
+}
+
+}
--- a/Libraries/core/process/hedge_budget.cpp
+++ b/Libraries/core/process/hedge_budget.cpp
@@ -15,17 +15,28 @@
 
 hedge_budget::hedge_budget(unsigned tokens)
     : most(tokens * millitokens_per_token)
-    , millitokens(this->most)
+    , millitokens(this->most.load())
 {
 }
 
+void hedge_budget::set_most(unsigned tokens)
+{
+    const std::int64_t limit = tokens * millitokens_per_token;
+    this->most = limit;
+    std::int64_t held = this->millitokens;
+    while (held > limit &&
+           !this->millitokens.compare_exchange_weak(held, limit))
+    {
+    }
+}
+
 void hedge_budget::earn(double percent)
 {
     const std::int64_t earned =
         std::llround(percent / 100 * millitokens_per_token);
     std::int64_t held = this->millitokens;
     while (!this->millitokens.compare_exchange_weak(
-        held, std::min(held + earned, this->most)))
+        held, std::min(held + earned, this->most.load())))
     {
     }
 }
--- a/Libraries/core/process/hedge_budget.hpp
+++ b/Libraries/core/process/hedge_budget.hpp
@@ -20,13 +20,15 @@
     // Holds `tokens` from the start, and at most.
     explicit hedge_budget(unsigned tokens);
 
+    // Changes the most that can be saved up; tokens beyond it are lost.
+    void set_most(unsigned tokens);
     // Earns `percent`/100 of a token for one first attempt.
     void earn(double percent);
     // Spends one token; returns false when less than one is left.
     bool spend();
 
 private:
-    std::int64_t most = std::int64_t{max_tokens} * 1000;
+    std::atomic<std::int64_t> most{std::int64_t{max_tokens} * 1000};
     // In thousandths of a token, as is `most`.
     std::atomic<std::int64_t> millitokens{0};
 };
--- a/Libraries/core/process/repeat_budgets.cpp
+++ b/Libraries/core/process/repeat_budgets.cpp
@@ -18,6 +18,8 @@
 void repeat_budgets::set_options(options values)
 {
     this->chosen = values;
+    for (auto& [service, held] : this->budgets)
+        held.set_most(values.reserve);
 }
 
 void repeat_budgets::earn(std::string_view service)
--- a/Libraries/core/process/repeat_budgets.hpp
+++ b/Libraries/core/process/repeat_budgets.hpp
@@ -27,7 +27,7 @@
 
     explicit repeat_budgets(options values);
 
-    // Applies to services that were not used yet.
+    // Takes effect at once; what is saved up beyond a smaller reserve is lost.
     void set_options(options values);
     // Earns for one request to the service.
     void earn(std::string_view service);
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -29,8 +29,6 @@
 constexpr std::chrono::milliseconds grace_margin{600};
 // Part of the tolerated repeats that is used: views of the load differ.
 constexpr double repeat_safety = 0.9;
-// Instances among which the slack of the repeats is divided.
-constexpr double assumed_instances = 14;
 // An idle connection of a caller is kept for longer than callers reuse it.
 constexpr std::chrono::milliseconds idle_slack{1000};
 
@@ -59,9 +57,11 @@
     return chosen;
 }
 
-repeat_budgets::options make_budgets(const gateway_settings& values)
+repeat_budgets::options make_budgets(const gateway_settings& values,
+                                     std::size_t instances)
 {
-    const double reserve = values.repeat_slack / assumed_instances;
+    const double reserve = values.repeat_slack * repeat_safety /
+                           static_cast<double>(instances);
     return {.ratio = values.repeat_ratio * repeat_safety,
             .reserve = static_cast<unsigned>(std::max(1.0, reserve))};
 }
@@ -100,7 +100,8 @@
     , dialect(make_forwarding_dialect(names))
     , state{.routes = nullptr,
             .upstreams = {},
-            .budgets = repeat_budgets(make_budgets(this->values)),
+            .budgets = repeat_budgets(
+                make_budgets(this->values, fleet_share::assumed_instances)),
             .split = {},
             .random = std::mt19937_64(random_seed())}
     , upstreams(this->workers, make_pool_options(this->dialect))
@@ -111,7 +112,9 @@
     , peers({.worker = &this->workers.at(0),
              .state = &this->state,
              .watcher = &this->watcher,
-             .members = make_member_options(this->values)})
+             .members = make_member_options(this->values),
+             .handle_instances = [this](std::size_t count)
+             { this->share_by(count); }})
     , requests({.worker = &this->workers.at(0),
                 .state = &this->state,
                 .upstreams = &this->upstreams,
@@ -270,7 +273,9 @@
         return;
     }
     this->shutdown_grace = changed.value().shutdown_grace;
-    this->state.budgets.set_options(make_budgets(changed.value()));
+    this->values.repeat_ratio = changed.value().repeat_ratio;
+    this->values.repeat_slack = changed.value().repeat_slack;
+    this->share_by(this->instances);
     start_logging(program_name, changed.value().log_level);
     log_event(
         log_level::info, "reloaded",
@@ -291,6 +296,17 @@
     this->peers.handle_pause();
 }
 
+void gateway_process::share_by(std::size_t count)
+{
+    this->instances = count;
+    const auto budgets = make_budgets(this->values, count);
+    this->state.budgets.set_options(budgets);
+    this->watcher.set_instances(count);
+    log_event(log_level::info, "shares_changed",
+              {{"instances", std::to_string(count)},
+               {"repeat_reserve", std::to_string(budgets.reserve)}});
+}
+
 asio::awaitable<http_reply> gateway_process::answer_peer(http_request request)
 {
     http_reply reply;
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -50,6 +50,8 @@
     // Adopts what may change while the process runs.
     void reload(const std::string& cause);
     void handle_pause(duration length);
+    // Divides what all instances share by this number of them.
+    void share_by(std::size_t instances);
     void drain();
 
     std::string settings_path;
@@ -75,6 +77,7 @@
     boost::asio::steady_timer reload_timer;
     std::filesystem::file_time_type settings_written;
     std::atomic<std::chrono::milliseconds> shutdown_grace;
+    std::size_t instances = fleet_share::assumed_instances;
     std::atomic<bool> is_draining{false};
 };
 
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -38,6 +38,7 @@
     , peers(peer_client::options{.control = this->chosen.worker,
                                  .timeout = call_timeout,
                                  .threads = call_threads})
+    , share(clock_now())
 {
     this->methods.add("gossip.exchange", [this](const std::string& parameters)
                       { return this->answer_gossip(parameters); });
@@ -155,7 +156,8 @@
         announced = revision;
         for (const auto& each : this->members.handle_timer(now))
             this->exchange(each);
-        this->chosen.watcher->set_instances(this->live_members());
+        if (this->share.update(this->live_members(), now))
+            this->chosen.handle_instances(this->share.instances());
         timer.expires_at(std::min(now + longest_timer_period,
                                   std::max(this->members.next_timer(), now)));
         boost::system::error_code ignored;
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef WISTERIAHATCH_GATEWAY_PEER_EXCHANGE_HPP
 #define WISTERIAHATCH_GATEWAY_PEER_EXCHANGE_HPP
 
+#include "core/process/fleet_share.hpp"
 #include "core/process/membership.hpp"
 #include "gateway_state.hpp"
 #include "net/http_server.hpp"
@@ -13,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <string>
 
 namespace wisteriahatch
@@ -30,6 +32,9 @@
         gateway_state* state = nullptr;
         source_watcher* watcher = nullptr;
         membership::options members;
+        // Called with the number of instances that share what all may use,
+        // when it has changed.
+        std::function<void(std::size_t instances)> handle_instances;
     };
 
     // A source that was silent for this long is helped out by peers.
@@ -65,6 +70,7 @@
     peer_client peers;
     rpc_server methods;
     time_point last_snapshot{};
+    fleet_share share;
 };
 
 }
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -47,7 +47,6 @@
     : chosen(values)
     , pause_timer(*values.worker)
     , expiry_timer(*values.worker)
-    , started(clock_now())
 {
 }
 
@@ -111,13 +110,7 @@
 
 void source_watcher::set_instances(std::size_t count)
 {
-    this->most_instances = std::max(this->most_instances, count);
-    const bool is_settled = clock_now() - this->started > settling_time;
-    const auto sharing = is_settled ? this->most_instances
-                                    : std::max(assumed_instances, count);
-    if (sharing == this->sharing_instances)
-        return;
-    this->sharing_instances = sharing;
+    this->instances = count;
     this->publish_upstreams();
 }
 
@@ -238,7 +231,7 @@
         if (!endpoint)
             continue;
         const auto share = connection_share(this->chosen.state->routes.get(),
-                                            entry->spec, this->sharing_instances);
+                                            entry->spec, this->instances);
         // Upstreams also shed while they have room, so that a refusal says
         // little about their load.
         addresses.emplace(id, upstream_address{.endpoint = endpoint.value(),
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -1,6 +1,7 @@
 #ifndef WISTERIAHATCH_GATEWAY_SOURCE_WATCHER_HPP
 #define WISTERIAHATCH_GATEWAY_SOURCE_WATCHER_HPP
 
+#include "core/process/fleet_share.hpp"
 #include "gateway_state.hpp"
 #include "net/configuration_source.hpp"
 #include "net/upstream_pool.hpp"
@@ -38,13 +39,6 @@
     static constexpr std::chrono::milliseconds first_retry{100};
     static constexpr std::chrono::milliseconds longest_retry{800};
 
-    // Instances that share the upstreams' connections, as long as this one may
-    // not yet have seen all of them: an upstream still holds the connections of
-    // processes that lost power, and resets what exceeds its limit.
-    static constexpr std::size_t assumed_instances = 30;
-    static constexpr std::chrono::seconds settling_time{3};
-    // Fewest instances that are reckoned with afterwards.
-    static constexpr std::size_t fewest_instances = 5;
     // Part of an upstream's connections that all instances use together.
     static constexpr double connection_use_ratio = 0.65;
 
@@ -60,9 +54,7 @@
     std::uint64_t known_revision() const;
     // False when the last call to the source failed.
     bool is_in_contact() const;
-    // Tells how many instances live. Connections to upstreams are shared by
-    // the most that were ever seen: while some can't be seen, they still hold
-    // theirs.
+    // Divides the connections to upstreams by this number of instances.
     void set_instances(std::size_t count);
 
 private:
@@ -86,11 +78,8 @@
     bool has_snapshot = false;
     bool has_contact = false;
     bool had_news = false;
-    time_point started;
-    // The most that were seen.
-    std::size_t most_instances = fewest_instances;
-    // The number by which connections are shared now.
-    std::size_t sharing_instances = assumed_instances;
+    // Instances that share the upstreams' connections.
+    std::size_t instances = fleet_share::assumed_instances;
 };
 
 }
