gateway: Let one instance a failure domain watch the store for the others

The live instance with the lowest address in a failure domain now watches; the others ask it each 400 ms for the changes since their revision. Who can't reach it, or finds it out of contact with the store, watches by itself for four seconds. Weighed: three readers for all (more bytes between domains), and longer watches (a lost answer would be noticed too late for the three seconds of a new version).

--- /dev/null
+++ b/Libraries/core/process/routing_log.cpp
@@ -0,0 +1,36 @@
+#include "core/process/routing_log.hpp"
+
+#include <utility>
+
+namespace wisteriahatch
+{
+
+void routing_log::restart(std::uint64_t revision)
+{
+    this->start = revision;
+    this->entries.clear();
+}
+
+void routing_log::append(std::uint64_t revision, upstream_change change)
+{
+    this->entries.push_back(
+        {.revision = revision, .change = std::move(change)});
+    if (this->entries.size() <= max_changes)
+        return;
+    this->start = this->entries.front().revision;
+    this->entries.pop_front();
+}
+
+routing_changes routing_log::since(std::uint64_t revision) const
+{
+    routing_changes changes;
+    changes.is_history_lost = revision < this->start;
+    if (changes.is_history_lost)
+        return changes;
+    for (const auto& each : this->entries)
+        if (each.revision > revision)
+            changes.upstreams.push_back(each.change);
+    return changes;
+}
+
+}
--- a/Libraries/core/process/routing_snapshot.cpp
+++ b/Libraries/core/process/routing_snapshot.cpp
@@ -1,6 +1,7 @@
 #include "core/process/routing_snapshot.hpp"
 
 #include "core/base/json_fields.hpp"
+#include "core/process/routing_log.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -257,4 +258,55 @@
     return snapshot;
 }
 
+std::string encode_changes(const routing_changes& changes)
+{
+    json::array upstreams;
+    for (const auto& each : changes.upstreams)
+    {
+        json::object change{{"id", each.id}};
+        if (each.spec)
+            change["upstream"] = encode_upstream(*each.spec);
+        upstreams.push_back(std::move(change));
+    }
+    json::object object{{"revision", changes.revision},
+                        {"is_history_lost", changes.is_history_lost},
+                        {"upstreams", std::move(upstreams)}};
+    if (changes.routes)
+        object["routing"] = encode_routes(*changes.routes);
+    return json::serialize(object);
+}
+
+result<routing_changes> decode_changes(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto object,
+                      parse_json_object(text, max_snapshot_bytes));
+    routing_changes changes;
+    BOOST_OUTCOME_TRY(changes.revision,
+                      read_json_number(object, "revision", max_number));
+    BOOST_OUTCOME_TRY(changes.is_history_lost,
+                      read_flag(object, "is_history_lost"));
+    BOOST_OUTCOME_TRY(const auto* upstreams,
+                      read_json_array(object, "upstreams", max_items));
+    for (const auto& each : *upstreams)
+    {
+        BOOST_OUTCOME_TRY(const auto* item,
+                          read_json_object(each, "upstreams"));
+        upstream_change change;
+        BOOST_OUTCOME_TRY(change.id,
+                          read_json_text(*item, "id", max_text_bytes));
+        if (const auto* spec = item->if_contains("upstream"))
+        {
+            BOOST_OUTCOME_TRY(change.spec, decode_upstream(*spec));
+        }
+        changes.upstreams.push_back(std::move(change));
+    }
+    if (const auto* routing = object.if_contains("routing"))
+    {
+        BOOST_OUTCOME_TRY(const auto* table,
+                          read_json_object(*routing, "routing"));
+        BOOST_OUTCOME_TRY(changes.routes, decode_routes(*table));
+    }
+    return changes;
+}
+
 }
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -60,8 +60,8 @@
 repeat_budgets::options make_budgets(const gateway_settings& values,
                                      std::size_t instances)
 {
-    const double reserve = values.repeat_slack * repeat_safety /
-                           static_cast<double>(instances);
+    const double reserve =
+        values.repeat_slack * repeat_safety / static_cast<double>(instances);
     return {.ratio = values.repeat_ratio * repeat_safety,
             .reserve = static_cast<unsigned>(std::max(1.0, reserve))};
 }
@@ -107,6 +107,7 @@
     , upstreams(this->workers, make_pool_options(this->dialect))
     , watcher({.worker = &this->workers.at(0),
                .source = this->source.get(),
+               .peer = this->values.peer_address ? &this->reader : nullptr,
                .state = &this->state,
                .upstreams = &this->upstreams})
     , peers({.worker = &this->workers.at(0),
@@ -115,6 +116,7 @@
              .members = make_member_options(this->values),
              .handle_instances = [this](std::size_t count)
              { this->share_by(count); }})
+    , reader(this->peers, this->watcher)
     , requests({.worker = &this->workers.at(0),
                 .state = &this->state,
                 .upstreams = &this->upstreams,
@@ -196,6 +198,7 @@
               {{"grace_ms", std::to_string(grace.count())}});
     this->is_draining = true;
     this->caller_server.begin_drain();
+    asio::post(this->workers.at(0), [this] { this->peers.set_leaving(); });
     std::this_thread::sleep_for(grace * listening_share);
     this->caller_server.stop_accepting();
     const auto last = started + grace - grace_margin;
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -9,6 +9,7 @@
 #include "net/worker_pool.hpp"
 #include "pause_watch.hpp"
 #include "peer_exchange.hpp"
+#include "peer_source.hpp"
 #include "settings.hpp"
 #include "source_watcher.hpp"
 #include "telemetry/forwarding_metrics.hpp"
@@ -65,6 +66,7 @@
     upstream_pool upstreams;
     source_watcher watcher;
     peer_exchange peers;
+    peer_source reader;
     forwarder requests;
     http_server caller_server;
     http_server ready_server;
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "peer_exchange.hpp"
 
 #include "core/process/gossip_codec.hpp"
+#include "peer_source.hpp"
 #include "telemetry/log.hpp"
 
 #include <algorithm>
@@ -45,6 +46,8 @@
     this->methods.add(
         "routing.fetch", [this](const std::string&)
         { return encode_snapshot(this->chosen.watcher->current()); });
+    this->methods.add("routing.changes", [this](const std::string& parameters)
+                      { return this->answer_changes(parameters); });
 }
 
 void peer_exchange::start()
@@ -61,11 +64,55 @@
     this->peers.stop();
 }
 
+asio::awaitable<result<std::string>> peer_exchange::call(std::string address,
+                                                         std::string method,
+                                                         std::string parameters)
+{
+    struct pending_call
+    {
+        std::optional<result<std::string>> answer;
+        asio::steady_timer done;
+    };
+    const auto pending = std::make_shared<pending_call>(
+        pending_call{std::nullopt, asio::steady_timer(*this->chosen.worker,
+                                                      time_point::max())});
+    this->peers.call(address, std::move(method), std::move(parameters),
+                     [pending](result<std::string> answer)
+                     {
+                         pending->answer.emplace(std::move(answer));
+                         pending->done.cancel();
+                     });
+    boost::system::error_code ignored;
+    co_await pending->done.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    if (pending->answer)
+        co_return std::move(*pending->answer);
+    co_return error{error_kind::shutting_down, "the call was not finished"};
+}
+
+std::string peer_exchange::reader_address() const
+{
+    const auto& own = this->members.members().self();
+    if (this->share.instances() >= fleet_share::assumed_instances)
+        return "";
+    std::string lowest = own.address;
+    for (const auto& member : this->members.members().members())
+        if (member.state == member_state::alive &&
+            member.failure_domain == own.failure_domain)
+            lowest = std::min(lowest, member.address);
+    return lowest == own.address ? "" : lowest;
+}
+
 std::size_t peer_exchange::live_members() const
 {
     return this->members.members().live_addresses().size();
 }
 
+void peer_exchange::set_leaving()
+{
+    this->members.set_leaving(clock_now());
+}
+
 void peer_exchange::handle_pause()
 {
     this->members.handle_pause(clock_now());
@@ -87,6 +134,17 @@
     return encode_gossip(reply);
 }
 
+std::string peer_exchange::answer_changes(const std::string& parameters)
+{
+    const auto known = decode_known(parameters);
+    if (!known)
+        throw std::runtime_error(known.error().message);
+    const auto& watcher = *this->chosen.watcher;
+    if (!watcher.is_in_contact())
+        throw std::runtime_error("this instance can't hear the source either");
+    return encode_changes(watcher.changes_since(known.value()));
+}
+
 void peer_exchange::exchange(const membership::exchange& next)
 {
     this->peers.call(
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -48,8 +48,17 @@
     void start();
     // Waits for calls to peers. Call before the worker stops.
     void stop();
+    // Calls a method of another instance; see peer_client.
+    boost::asio::awaitable<result<std::string>>
+    call(std::string address, std::string method, std::string parameters);
+    // The instance of the own failure domain that watches the source for the
+    // others: the live one with the lowest address. Empty when it is this one,
+    // or when this one may not yet have seen the others.
+    std::string reader_address() const;
     // Members that are alive or suspect, this instance included.
     std::size_t live_members() const;
+    // Announces that this instance is about to end.
+    void set_leaving();
     // The process stood still: the others had no chance to answer.
     void handle_pause();
     // Answers a JSON-RPC message of another instance.
@@ -57,6 +66,7 @@
 
 private:
     std::string answer_gossip(const std::string& parameters);
+    std::string answer_changes(const std::string& parameters);
     void exchange(const membership::exchange& next);
     void handle_answer(const std::string& address,
                        const result<std::string>& answer);
--- /dev/null
+++ b/Programs/gateway/peer_source.cpp
@@ -0,0 +1,82 @@
+#include "peer_source.hpp"
+
+#include "core/base/json_fields.hpp"
+#include "peer_exchange.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <limits>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr std::size_t max_known_bytes = 1024;
+constexpr std::uint64_t max_number =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+
+error no_reader()
+{
+    return {error_kind::no_configuration,
+            "no other instance watches the source for this one"};
+}
+
+}
+
+std::string encode_known(const known_routing& known)
+{
+    return boost::json::serialize(boost::json::object{
+        {"revision", known.revision}, {"version", known.version}});
+}
+
+result<known_routing> decode_known(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(const auto object,
+                      parse_json_object(text, max_known_bytes));
+    known_routing known;
+    BOOST_OUTCOME_TRY(known.revision,
+                      read_json_number(object, "revision", max_number));
+    BOOST_OUTCOME_TRY(known.version,
+                      read_json_number(object, "version", max_number));
+    return known;
+}
+
+peer_source::peer_source(peer_exchange& exchange, const source_watcher& routing)
+    : peers(&exchange)
+    , watcher(&routing)
+{
+}
+
+asio::awaitable<result<routing_snapshot>> peer_source::read()
+{
+    const auto reader = this->peers->reader_address();
+    if (reader.empty())
+        co_return no_reader();
+    const auto answer =
+        co_await this->peers->call(reader, "routing.fetch", "{}");
+    if (!answer)
+        co_return answer.error();
+    co_return decode_snapshot(answer.value());
+}
+
+asio::awaitable<result<routing_changes>>
+peer_source::watch(std::uint64_t revision, std::chrono::milliseconds)
+{
+    const auto reader = this->peers->reader_address();
+    if (reader.empty())
+        co_return no_reader();
+    auto known = this->watcher->known();
+    known.revision = revision;
+    const auto parameters = encode_known(known);
+    const auto answer =
+        co_await this->peers->call(reader, "routing.changes", parameters);
+    if (!answer)
+        co_return answer.error();
+    co_return decode_changes(answer.value());
+}
+
+}
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -82,6 +82,7 @@
                {"revision", std::to_string(snapshot.revision)},
                {"known_revision", std::to_string(this->revision)}});
     this->revision = snapshot.revision;
+    this->log.restart(this->revision);
     // Changes after the peer's revision can be watched as after an own read.
     this->has_snapshot = true;
     this->adopt(snapshot.routes, peer);
@@ -98,6 +99,23 @@
             .upstreams = this->chosen.state->upstreams.listed()};
 }
 
+known_routing source_watcher::known() const
+{
+    const auto& routes = this->chosen.state->routes;
+    return {.revision = this->revision,
+            .version = routes ? routes->version() : 0};
+}
+
+routing_changes source_watcher::changes_since(const known_routing& other) const
+{
+    auto changes = this->log.since(other.revision);
+    const auto own = this->known();
+    changes.revision = own.revision;
+    if (own.version > other.version)
+        changes.routes = this->chosen.state->routes;
+    return changes;
+}
+
 std::uint64_t source_watcher::known_revision() const
 {
     return this->has_snapshot ? this->revision : 0;
@@ -119,6 +137,12 @@
     duration retry = first_retry;
     for (;;)
     {
+        if (co_await this->ask_peer())
+        {
+            this->chosen.state->source_heard = clock_now();
+            co_await this->pause(peer_interval);
+            continue;
+        }
         const bool is_heard =
             this->has_snapshot ? co_await this->watch() : co_await this->read();
         if (is_heard)
@@ -145,6 +169,7 @@
     if (!snapshot)
         co_return false;
     this->revision = snapshot.value().revision;
+    this->log.restart(this->revision);
     this->has_snapshot = true;
     this->adopt(snapshot.value().routes, "snapshot");
     if (this->chosen.state->upstreams.replace_all(snapshot.value().upstreams,
@@ -173,18 +198,51 @@
         this->has_snapshot = false;
         co_return true;
     }
-    this->revision = std::max(this->revision, changes.value().revision);
-    this->adopt(changes.value().routes, "watch");
+    this->take(changes.value(), "watch");
+    co_return true;
+}
+
+asio::awaitable<bool> source_watcher::ask_peer()
+{
+    if (this->chosen.peer == nullptr || !this->has_snapshot ||
+        clock_now() < this->peer_doubted_until)
+        co_return false;
+    const auto changes = co_await this->chosen.peer->watch(
+        this->revision, std::chrono::milliseconds(0));
+    // Without a peer to ask, nothing speaks against the next one.
+    const bool has_no_peer =
+        !changes && changes.error().kind == error_kind::no_configuration;
+    if (has_no_peer)
+        co_return false;
+    if (!changes || changes.value().is_history_lost)
+    {
+        this->peer_doubted_until = clock_now() + peer_doubt;
+        log_event(log_level::warning, "reader_lost",
+                  {{"reason", changes ? "its changes do not reach back so far"
+                                      : changes.error().message}});
+        co_return false;
+    }
+    this->has_contact = true;
+    this->take(changes.value(), "peer");
+    co_return true;
+}
+
+void source_watcher::take(const routing_changes& changes,
+                          const std::string& origin)
+{
+    this->revision = std::max(this->revision, changes.revision);
+    this->adopt(changes.routes, origin);
     bool has_changed = false;
     const auto now = clock_now();
-    for (const auto& change : changes.value().upstreams)
+    for (const auto& change : changes.upstreams)
+    {
         has_changed = this->apply(change, now) || has_changed;
+        this->log.append(this->revision, change);
+    }
     if (has_changed)
         this->publish_upstreams();
-    this->had_news =
-        changes.value().routes || !changes.value().upstreams.empty();
+    this->had_news = changes.routes || !changes.upstreams.empty();
     this->arm_expiry();
-    co_return true;
 }
 
 asio::awaitable<void> source_watcher::pause(duration length)
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -16,6 +16,14 @@
 namespace wisteriahatch
 {
 
+// How far an instance is up to date.
+struct known_routing
+{
+    std::uint64_t revision = 0;
+    // Version of the routes; 0 for none.
+    std::uint64_t version = 0;
+};
+
 // Keeps the gateway's routes and upstreams equal to what its source holds.
 // Runs on the gateway's worker.
 class source_watcher
@@ -25,6 +33,9 @@
     {
         boost::asio::io_context* worker = nullptr;
         configuration_source* source = nullptr;
+        // Another instance that watches the source for this one; its calls fail
+        // when there is none. May be null.
+        configuration_source* peer = nullptr;
         gateway_state* state = nullptr;
         upstream_pool* upstreams = nullptr;
     };
@@ -35,6 +46,10 @@
     static constexpr std::chrono::milliseconds watch_wait{2500};
     // Pause after news, so that a burst of changes costs few calls.
     static constexpr std::chrono::milliseconds news_pause{700};
+    // Time between two questions to a peer.
+    static constexpr std::chrono::milliseconds peer_interval{400};
+    // After a peer failed, the source itself is watched for this long.
+    static constexpr std::chrono::seconds peer_doubt{4};
     // Pauses after failed calls.
     static constexpr std::chrono::milliseconds first_retry{100};
     static constexpr std::chrono::milliseconds longest_retry{800};
@@ -50,6 +65,10 @@
                         const std::string& peer);
     // What this instance knows, for its peers.
     routing_snapshot current() const;
+    // What has changed since another instance was up to date.
+    routing_changes changes_since(const known_routing& known) const;
+    // What this instance knows, as it tells the peer that it asks.
+    known_routing known() const;
     // Revision of the source up to which changes are known.
     std::uint64_t known_revision() const;
     // False when the last call to the source failed.
@@ -61,9 +80,12 @@
     // Puts a newer version in force; an older one changes nothing.
     void adopt(const route_table_ptr& routes, const std::string& origin);
     boost::asio::awaitable<void> run();
+    // Brings this instance up to date by a peer. Returns whether that worked.
+    boost::asio::awaitable<bool> ask_peer();
     // Reads everything, or what has changed. Returns whether that worked.
     boost::asio::awaitable<bool> read();
     boost::asio::awaitable<bool> watch();
+    void take(const routing_changes& changes, const std::string& origin);
     boost::asio::awaitable<void> pause(duration length);
     bool apply(const upstream_change& change, time_point now);
     void report_contact(bool is_heard, const std::string& reason);
@@ -78,6 +100,9 @@
     bool has_snapshot = false;
     bool has_contact = false;
     bool had_news = false;
+    // Until then no peer is asked.
+    time_point peer_doubted_until{};
+    routing_log log;
     // Instances that share the upstreams' connections.
     std::size_t instances = fleet_share::assumed_instances;
 };
--- a/Tests/core/process/fleet_share.cpp
+++ b/Tests/core/process/fleet_share.cpp
@@ -34,7 +34,8 @@
         for (const auto& each : steps)
         {
             const auto before = share.instances();
-            const bool has_changed = share.update(each.seen, start + each.after);
+            const bool has_changed =
+                share.update(each.seen, start + each.after);
             CHECK(share.instances() == each.expected);
             CHECK(has_changed == (before != each.expected));
         }
