gateway: Test it against stand-ins of the platform, and tell waiting from running

The session tells its fan_out when the first byte is about to leave; what never left is 503.

stand-in-store and stand-in-server speak the platform's protocol with its faults: busy, limited, silent, garbled and a lost history; refused, failed, lost, truncated, garbled, repeated, crossed, unsigned, silent and unframed replies.

--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -74,7 +74,7 @@
 {
     if (this->has_ended)
         return {};
-    const auto index = this->attempts.at(attempt.value - 1);
+    const auto index = this->attempts.at(attempt.value - 1).leg;
     auto& owner = this->legs[index];
     if (std::erase(owner.running, attempt) == 0)
         return {};
@@ -93,6 +93,11 @@
     return this->take_actions(now);
 }
 
+void fan_out::handle_sent(attempt_id attempt)
+{
+    this->attempts.at(attempt.value - 1).is_sent = true;
+}
+
 std::vector<fan_out::action> fan_out::handle_timer(time_point now)
 {
     if (this->has_ended)
@@ -167,7 +172,7 @@
     if (paid == payment::from_budget &&
         !this->chosen.budgets->spend(owner.service))
         return false;
-    this->attempts.push_back(index);
+    this->attempts.push_back({.leg = index});
     const attempt_id attempt{this->attempts.size()};
     const auto known =
         std::ranges::find(owner.tried, upstream->spec.id, &tried_upstream::id);
@@ -235,17 +240,25 @@
         this->legs, [](const leg& each) { return each.answer.has_value(); }));
     const auto open = static_cast<std::size_t>(std::ranges::count_if(
         this->legs, [this](const leg& each) { return this->is_open(each); }));
-    const bool is_sent = this->may_have_run ||
-                         std::ranges::any_of(this->legs, [](const leg& each)
-                                             { return !each.running.empty(); });
     if (this->is_covered(answered) &&
         (open == 0 || now >= this->chosen.answer_by))
         this->end(fan_out_result::answered);
     else if (!this->is_covered(answered + open))
-        this->end(is_sent ? fan_out_result::failed : fan_out_result::not_run);
+        this->end(this->may_run() ? fan_out_result::failed
+                                  : fan_out_result::not_run);
     else if (now >= this->chosen.deadline)
-        this->end(is_sent ? fan_out_result::timed_out
-                          : fan_out_result::not_run);
+        this->end(this->may_run() ? fan_out_result::timed_out
+                                  : fan_out_result::not_run);
+}
+
+bool fan_out::may_run() const
+{
+    const auto is_sent = [this](attempt_id attempt)
+    { return this->attempts[attempt.value - 1].is_sent; };
+    return this->may_have_run ||
+           std::ranges::any_of(
+               this->legs, [&is_sent](const leg& each)
+               { return std::ranges::any_of(each.running, is_sent); });
 }
 
 bool fan_out::is_covered(std::size_t legs_answered) const
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -130,6 +130,9 @@
     std::vector<action> start(time_point now);
     std::vector<action> handle_end(attempt_id attempt, attempt_end end,
                                    time_point now);
+    // The attempt's first byte is about to be written. Until then it waits for
+    // a connection, and can still be withdrawn.
+    void handle_sent(attempt_id attempt);
     std::vector<action> handle_timer(time_point now);
     // The caller has gone: releases every attempt. No finish follows.
     std::vector<action> abandon();
@@ -180,13 +183,21 @@
     // Ends the request when its legs allow or the time demands it.
     void conclude(time_point now);
     bool is_covered(std::size_t legs_answered) const;
+    // Whether an upstream may have run the request, or may still run it.
+    bool may_run() const;
     void end(fan_out_result result);
     std::vector<action> take_actions(time_point now);
 
     options chosen;
     std::vector<leg> legs;
-    // The leg of each attempt, by id - 1.
-    std::vector<std::size_t> attempts;
+    // An attempt, by id - 1.
+    struct known_attempt
+    {
+        std::size_t leg = 0;
+        bool is_sent = false;
+    };
+
+    std::vector<known_attempt> attempts;
     std::vector<action> actions;
     unsigned repeat_count = 0;
     bool may_have_run = false;
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -100,7 +100,10 @@
     call.before_send = [weak = this->weak_from_this(), attempt]
     {
         const auto self = weak.lock();
-        return self && self->is_wanted(attempt);
+        if (!self || !self->is_wanted(attempt))
+            return false;
+        self->decisions.handle_sent(attempt);
+        return true;
     };
     this->calls.emplace(attempt,
                         running_call{.id = {},
--- /dev/null
+++ b/StandIns/server/stand_in_server.cpp
@@ -0,0 +1,324 @@
+#include "StandIns/server/stand_in_server.hpp"
+
+#include "net/beast.hpp"
+#include "net/http_client.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <sstream>
+#include <utility>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+struct named_mode
+{
+    std::string_view name;
+    server_mode mode;
+};
+
+constexpr std::array modes{
+    named_mode{"normal", server_mode::normal},
+    named_mode{"refuse", server_mode::refuse},
+    named_mode{"fail", server_mode::fail},
+    named_mode{"lose", server_mode::lose},
+    named_mode{"truncate", server_mode::truncate},
+    named_mode{"garble", server_mode::garble},
+    named_mode{"repeat_reply", server_mode::repeat_reply},
+    named_mode{"wrong_id", server_mode::wrong_id},
+    named_mode{"unsigned", server_mode::unsigned_reply},
+    named_mode{"silent", server_mode::silent},
+    named_mode{"unframed", server_mode::unframed},
+};
+
+// Time between looks whether the peer has closed its connection.
+constexpr std::chrono::milliseconds watch_step{5};
+
+using request_message = http::request<http::string_body>;
+
+// What a reply consists of, as text.
+struct reply_text
+{
+    unsigned status = 200;
+    std::string id;
+    std::string signature;
+    std::string headers;
+    std::string body;
+};
+
+std::string head(const reply_text& reply)
+{
+    std::ostringstream text;
+    text << "HTTP/1.1 " << reply.status << " Text\r\n"
+         << "Request-Id: " << reply.id << "\r\nServer-Load: 1,0,3\r\n";
+    if (!reply.signature.empty())
+        text << "Response-Seal: " << reply.signature << "\r\n";
+    text << reply.headers;
+    return text.str();
+}
+
+std::string framed(const reply_text& reply)
+{
+    return head(reply) +
+           "Content-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n" +
+           reply.body;
+}
+
+// What is written to the connection, and whether the connection ends then.
+struct written_reply
+{
+    std::string bytes;
+    bool is_last = false;
+};
+
+written_reply write_reply(server_mode mode, reply_text reply)
+{
+    const auto whole = framed(reply);
+    switch (mode)
+    {
+    case server_mode::lose:
+    case server_mode::silent:
+        return {"", true};
+    case server_mode::truncate:
+        return {whole.substr(0, whole.size() - 1), true};
+    case server_mode::garble:
+        return {"\x01\x02 no reply\r\n\r\n", true};
+    case server_mode::repeat_reply:
+    {
+        auto second = reply;
+        second.body = "second " + reply.body;
+        return {whole + framed(second), false};
+    }
+    case server_mode::wrong_id:
+        reply.id = "another";
+        return {framed(reply), false};
+    case server_mode::unframed:
+        return {head(reply) + "Connection: close\r\n\r\n" + reply.body, true};
+    default:
+        return {whole, false};
+    }
+}
+
+}
+
+const server_mode* find_server_mode(std::string_view name)
+{
+    const auto* found = std::ranges::find(modes, name, &named_mode::name);
+    return found == modes.end() ? nullptr : &found->mode;
+}
+
+class stand_in_server::implementation
+    : public std::enable_shared_from_this<implementation>
+{
+public:
+    implementation(worker_pool& workers, options chosen)
+        : worker(workers.at(0))
+        , values(std::move(chosen))
+    {
+    }
+
+    result<void> start()
+    {
+        auto listener = std::make_shared<tcp::acceptor>(this->worker);
+        error_code failure;
+        listener->open(tcp::v4(), failure);
+        listener->set_option(tcp::acceptor::reuse_address(true), failure);
+        listener->bind(this->values.listen, failure);
+        if (!failure)
+            listener->listen(tcp::acceptor::max_listen_connections, failure);
+        if (failure)
+            return error{error_kind::connect_failed,
+                         "listening on " +
+                             format_endpoint(this->values.listen) +
+                             " failed; choose a free address"};
+        this->bound = listener->local_endpoint();
+        asio::co_spawn(this->worker,
+                       accept_all(this->shared_from_this(), listener),
+                       asio::detached);
+        return boost::outcome_v2::success();
+    }
+
+    static asio::awaitable<void>
+    accept_all(std::shared_ptr<implementation> self,
+               std::shared_ptr<tcp::acceptor> listener)
+    {
+        for (;;)
+        {
+            error_code failure;
+            tcp::socket socket(self->worker);
+            co_await listener->async_accept(socket, store_error(failure));
+            if (failure)
+                co_return;
+            asio::co_spawn(self->worker, serve(self, std::move(socket)),
+                           asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<implementation> self,
+                                       tcp::socket socket)
+    {
+        beast::flat_buffer buffer;
+        bool is_open = true;
+        while (is_open)
+        {
+            error_code failure;
+            request_message request;
+            co_await http::async_read(socket, buffer, request,
+                                      store_error(failure));
+            if (failure)
+                co_return;
+            is_open = co_await self->answer(socket, request);
+        }
+    }
+
+    // Returns whether the connection stays open.
+    asio::awaitable<bool> answer(tcp::socket& socket,
+                                 const request_message& request)
+    {
+        error_code failure;
+        const auto mode = this->note_arrival(request);
+        const auto id = std::string(request["Request-Id"]);
+        const auto target = std::string(request["Target-Instance"]);
+        constexpr unsigned status_refused = 503;
+        constexpr unsigned status_misdirected = 421;
+        constexpr unsigned status_failed = 500;
+        reply_text reply{.id = id,
+                         .signature = this->values.id + "." + id,
+                         .body = this->values.body};
+        // NOTE: GCC 12 destroys temporaries in the operand of co_await twice,
+        // so that the reply is a local.
+        written_reply out;
+        if (!target.empty() && target != this->values.id)
+        {
+            reply.status = status_misdirected;
+            reply.headers = "Instance-Id: " + this->values.id + "\r\n";
+            out.bytes = framed(reply);
+        }
+        else if (mode == server_mode::refuse)
+        {
+            reply.status = status_refused;
+            reply.headers = "Not-Executed: 1\r\n";
+            out.bytes = framed(reply);
+        }
+        else
+        {
+            this->note_run(id);
+            if (!co_await this->work(socket, mode))
+                co_return false;
+            if (mode == server_mode::fail)
+                reply.status = status_failed;
+            if (mode == server_mode::unsigned_reply)
+                reply.signature.clear();
+            out = write_reply(mode, reply);
+        }
+        co_await asio::async_write(socket, asio::buffer(out.bytes),
+                                   store_error(failure));
+        if (out.is_last)
+            socket.close(failure);
+        co_return !out.is_last && !failure;
+    }
+
+    // Waits as told; returns false when the peer has closed the connection.
+    asio::awaitable<bool> work(tcp::socket& socket, server_mode mode)
+    {
+        const auto end = std::chrono::steady_clock::now() + this->delay.load();
+        asio::steady_timer timer(this->worker);
+        error_code failure;
+        socket.non_blocking(true, failure);
+        while (mode == server_mode::silent ||
+               std::chrono::steady_clock::now() < end)
+        {
+            char first = 0;
+            socket.receive(asio::buffer(&first, 1), tcp::socket::message_peek,
+                           failure);
+            if (failure && failure != asio::error::would_block)
+            {
+                ++this->abandoned_requests;
+                co_return false;
+            }
+            timer.expires_after(watch_step);
+            co_await timer.async_wait(store_error(failure));
+        }
+        co_return true;
+    }
+
+    server_mode note_arrival(const request_message& request)
+    {
+        std::ostringstream text;
+        text << request.base();
+        const std::lock_guard lock(this->mutex);
+        this->arrived.push_back(text.str());
+        return this->mode;
+    }
+
+    void note_run(const std::string& id)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->run_ids.push_back(id);
+    }
+
+    asio::io_context& worker;
+    options values;
+    tcp::endpoint bound;
+    mutable std::mutex mutex;
+    server_mode mode = server_mode::normal;
+    std::vector<std::string> run_ids;
+    std::vector<std::string> arrived;
+    std::atomic<std::chrono::milliseconds> delay{std::chrono::milliseconds(0)};
+    std::atomic<std::size_t> abandoned_requests{0};
+};
+
+stand_in_server::stand_in_server(worker_pool& workers, options values)
+    : state(std::make_shared<implementation>(workers, std::move(values)))
+{
+}
+
+stand_in_server::~stand_in_server() = default;
+
+result<void> stand_in_server::start()
+{
+    return this->state->start();
+}
+
+tcp::endpoint stand_in_server::endpoint() const
+{
+    return this->state->bound;
+}
+
+void stand_in_server::set_mode(server_mode mode)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->mode = mode;
+}
+
+void stand_in_server::set_delay(std::chrono::milliseconds delay)
+{
+    this->state->delay = delay;
+}
+
+std::vector<std::string> stand_in_server::runs() const
+{
+    const std::lock_guard lock(this->state->mutex);
+    return this->state->run_ids;
+}
+
+std::vector<std::string> stand_in_server::arrivals() const
+{
+    const std::lock_guard lock(this->state->mutex);
+    return this->state->arrived;
+}
+
+std::size_t stand_in_server::abandoned() const
+{
+    return this->state->abandoned_requests;
+}
+
+}
--- /dev/null
+++ b/StandIns/store/stand_in_store.hpp
@@ -0,0 +1,85 @@
+#ifndef WISTERIAHATCH_STANDINS_STORE_STAND_IN_STORE_HPP
+#define WISTERIAHATCH_STANDINS_STORE_STAND_IN_STORE_HPP
+
+#include "net/http_server.hpp"
+#include "net/http_target.hpp"
+#include "net/worker_pool.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// How the stand-in answers reading calls.
+enum class store_mode : std::uint8_t
+{
+    normal,
+    // 503 to every call.
+    busy,
+    // 429 to every call.
+    limited,
+    // No answer to any call.
+    silent,
+    // 200 with a body that is no JSON.
+    garbled,
+};
+
+// Stands in for the platform's metadata store: items with revisions that can be
+// read one by one, in pages and by a watch. Thread-safe.
+class stand_in_store
+{
+public:
+    // Items of a page.
+    static constexpr std::size_t page_items = 50;
+
+    stand_in_store(worker_pool& workers, boost::asio::ip::tcp::endpoint listen);
+
+    result<void> start();
+    boost::asio::ip::tcp::endpoint endpoint() const;
+
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+    // Forgets the events up to now: a watch from before gets 410.
+    void forget_history();
+    void set_mode(store_mode mode);
+    // Reading calls so far.
+    std::uint64_t calls() const;
+
+private:
+    // One item, or its removal.
+    struct event
+    {
+        std::uint64_t revision = 0;
+        std::string key;
+        std::optional<std::string> value;
+    };
+
+    boost::asio::awaitable<http_reply> handle(http_request request);
+    http_reply answer_key(const http_target& target) const;
+    http_reply answer_range(const http_target& target) const;
+    boost::asio::awaitable<http_reply> answer_watch(http_target target);
+    http_reply answer_control(const http_request& request,
+                              const http_target& target);
+    // Events after a revision; empty when that history is gone.
+    std::optional<std::vector<event>> events_after(std::uint64_t revision,
+                                                   const std::string& prefix);
+
+    mutable std::mutex mutex;
+    std::uint64_t revision = 1;
+    std::map<std::string, event> items;
+    std::vector<event> history;
+    std::uint64_t history_start = 0;
+    store_mode mode = store_mode::normal;
+    std::uint64_t call_count = 0;
+    http_server server;
+};
+
+}
+
+#endif
--- a/Tests/core/process/fleet_share.cpp
+++ b/Tests/core/process/fleet_share.cpp
@@ -1,6 +1,7 @@
 #include "core/process/fleet_share.hpp"
 
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace wisteriahatch;
 using namespace std::chrono_literals;
--- a/Tests/core/request/fan_out.cpp
+++ b/Tests/core/request/fan_out.cpp
@@ -74,6 +74,8 @@
 
     void finish(std::size_t send, attempt_end how, duration after)
     {
+        if (how != attempt_end::unsent)
+            this->request->handle_sent(this->sends.at(send).attempt);
         this->take(this->request->handle_end(this->sends.at(send).attempt, how,
                                              start + after));
     }
@@ -279,6 +281,7 @@
         world world(2, 2);
         world.run();
         world.finish(0, attempt_end::answered, 10ms);
+        world.request->handle_sent(world.sends[1].attempt);
         world.pass(1s);
         REQUIRE(world.end);
         CHECK(world.end->result == fan_out_result::timed_out);
@@ -344,3 +347,23 @@
                       leg);
     }
 }
+
+// Guards against "may have run" for a request that never left this instance:
+// its caller would not know that it may ask again.
+TEST_CASE("a request that only waited for a connection has not run")
+{
+    for (const bool is_sent : {false, true})
+    {
+        CAPTURE(is_sent);
+        world world(1, 1);
+        world.plan.retries = retry_rule::at_most_once;
+        world.run();
+        if (is_sent)
+            world.request->handle_sent(world.sends[0].attempt);
+        world.pass(1s);
+        REQUIRE(world.end);
+        CHECK(world.end->result ==
+              (is_sent ? fan_out_result::timed_out : fan_out_result::not_run));
+        CHECK(world.released.size() == 1);
+    }
+}
--- /dev/null
+++ b/Tests/gateway/forwarder.cpp
@@ -0,0 +1,201 @@
+#include "forwarder.hpp"
+
+#include "gateway/gateway_fixture.hpp"
+
+#include <algorithm>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+// Guards against an answer that is not the server's own and whole, against a
+// second run of a request that may run once, and against a false promise that a
+// request has not run.
+TEST_CASE_FIXTURE(gateway_fixture, "what a caller gets from one server")
+{
+    struct scenario
+    {
+        server_mode mode;
+        unsigned idempotent, once;
+        std::size_t idempotent_runs, once_runs;
+    };
+    auto& server = this->add_server("plain", "i-1");
+    this->put_config(1, 0);
+    this->wait_for(1, 1);
+    for (const auto& each :
+         {scenario{server_mode::normal, 200, 200, 1, 1},
+          scenario{server_mode::unframed, 200, 200, 1, 1},
+          scenario{server_mode::repeat_reply, 200, 200, 1, 1},
+          scenario{server_mode::refuse, 503, 503, 0, 0},
+          scenario{server_mode::fail, 500, 500, 4, 1},
+          scenario{server_mode::lose, 502, 502, 4, 1},
+          scenario{server_mode::truncate, 502, 502, 4, 1},
+          scenario{server_mode::garble, 502, 502, 4, 1},
+          scenario{server_mode::wrong_id, 502, 502, 4, 1},
+          scenario{server_mode::unsigned_reply, 502, 502, 4, 1}})
+    {
+        CAPTURE(static_cast<int>(each.mode));
+        server.set_mode(each.mode);
+        const auto before = server.runs().size();
+        const auto first = this->ask("GET", "/p/x");
+        CHECK(first.result_int() == each.idempotent);
+        CHECK(server.runs().size() - before <= each.idempotent_runs);
+        const auto between = server.runs().size();
+        const auto second = this->ask("POST", "/once/x");
+        CHECK(second.result_int() == each.once);
+        CHECK(server.runs().size() - between == each.once_runs);
+        for (const auto& reply : {first, second})
+        {
+            // A signature goes only with the server's own status.
+            const bool is_servers = reply.count("Response-Seal") > 0;
+            CHECK(is_servers ==
+                  (reply.result_int() == 200 || reply.result_int() == 500));
+            if (reply.result_int() == 200)
+                CHECK(reply.body() == "answer");
+            if (reply.result_int() == 503)
+                CHECK(reply.count("Retry-After") == 1);
+        }
+        server.set_mode(server_mode::normal);
+        // What was left over on a connection answers no other request.
+        for (unsigned follow = 0; follow < 3; ++follow)
+            CHECK(this->ask("GET", "/p/x").body() == "answer");
+    }
+}
+
+// Guards against a request that is given up although another server has room.
+TEST_CASE_FIXTURE(gateway_fixture, "another server takes what one refuses")
+{
+    auto& first = this->add_server("plain", "i-1");
+    auto& second = this->add_server("plain", "i-2");
+    this->put_config(1, 0);
+    this->wait_for(2, 1);
+    first.set_mode(server_mode::refuse);
+    for (const char* target : {"/p/x", "/once/x"})
+        for (unsigned request = 0; request < 10; ++request)
+            CHECK(this->ask("POST", target).result_int() == 200);
+    CHECK(first.runs().empty());
+    CHECK(second.runs().size() == 20);
+}
+
+// Guards against a request that runs at a stranger: the directory still names
+// the server whose address another one has now. Found on dialcraft-amman, day
+// fresh-248f, where each such request was a repeat at the stranger's service.
+TEST_CASE_FIXTURE(gateway_fixture, "a replaced server is asked once")
+{
+    auto& stranger = this->add_server("plain", "i-new", "answer", "i-old");
+    this->put_config(1, 0);
+    this->wait_for(1, 1);
+    for (unsigned request = 0; request < 5; ++request)
+        CHECK(this->ask("POST", "/once/x").result_int() == 503);
+    CHECK(stranger.runs().empty());
+    CHECK(stranger.arrivals().size() == 1);
+}
+
+// Guards against a header, path or query that changes on the way, and against a
+// server that gets more time than the caller has left.
+TEST_CASE_FIXTURE(gateway_fixture, "the request arrives as it was sent")
+{
+    auto& server = this->add_server("plain", "i-1");
+    this->put_config(1, 0);
+    this->wait_for(1, 1);
+    raw_client caller(this->front->endpoint());
+    caller.send("GET /p/a%20b?c=%2F&d HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+                "Deadline-Ms: 900\r\nX-Own: kept\r\nX-Hop: dropped\r\n"
+                "Connection: X-Hop\r\nTarget-Instance: forged\r\n\r\n");
+    CHECK(caller.read().result_int() == 200);
+    REQUIRE(server.arrivals().size() == 1);
+    const auto head = server.arrivals()[0];
+    CHECK(head.starts_with("GET /p/a%20b?c=%2F&d HTTP/1.1\r\n"));
+    CHECK(head.find("X-Own: kept") != std::string::npos);
+    CHECK(head.find("X-Hop") == std::string::npos);
+    CHECK(head.find("Target-Instance: i-1\r\n") != std::string::npos);
+    CHECK(head.find("forged") == std::string::npos);
+    const auto at = head.find("Deadline-Ms: ");
+    REQUIRE(at != std::string::npos);
+    const auto left = std::stoi(head.substr(at + 13));
+    CHECK(left > 0);
+    CHECK(left <= 900);
+}
+
+// Guards against a merged answer with a wrong order, a part of another request,
+// or a false count of what is missing.
+TEST_CASE_FIXTURE(gateway_fixture, "a scattered answer states what it lacks")
+{
+    struct scenario
+    {
+        // Of the third shard's only server.
+        server_mode third;
+        std::string missing;
+        std::size_t parts;
+    };
+    const auto record = [](char letter) { return std::string(16, letter); };
+    this->add_server("s1", "i-1", record('b') + record('e'));
+    this->add_server("s2", "i-2", record('d') + "rest");
+    auto& third = this->add_server("s3", "i-3", record('f') + record('a'));
+    this->put_config(1, 3);
+    this->wait_for(3, 1);
+    for (const auto& [mode, missing, parts] :
+         {scenario{server_mode::normal, "0", 3},
+          scenario{server_mode::refuse, "1", 2},
+          scenario{server_mode::fail, "1", 2},
+          scenario{server_mode::wrong_id, "1", 2},
+          scenario{server_mode::unsigned_reply, "1", 2},
+          scenario{server_mode::truncate, "1", 2}})
+    {
+        CAPTURE(static_cast<int>(mode));
+        third.set_mode(mode);
+        const auto reply = this->ask("GET", "/q/x");
+        CHECK(reply.result_int() == 200);
+        CHECK(reply["Missing-Parts"] == missing);
+        const std::string seals(reply["Part-Seals"]);
+        CHECK(std::ranges::count(seals, ',') ==
+              static_cast<std::ptrdiff_t>(parts) - 1);
+        CHECK(reply.body() == (parts == 3
+                                   ? record('f') + record('e') + record('d')
+                                   : record('e') + record('d') + record('b')));
+    }
+}
+
+// Guards against an answer below the floor, and against one that is held back
+// until the deadline.
+TEST_CASE_FIXTURE(gateway_fixture, "a silent shard is left out at the target")
+{
+    this->add_server("s1", "i-1", std::string(16, 'a'));
+    auto& second = this->add_server("s2", "i-2", std::string(16, 'b'));
+    second.set_mode(server_mode::silent);
+    this->put_config(1, 2, 200, 0.5);
+    this->wait_for(2, 1);
+    const auto partial = this->ask("GET", "/q/x");
+    CHECK(partial.result_int() == 200);
+    CHECK(partial["Missing-Parts"] == "1");
+    this->put_config(2, 2, 200, 0.9);
+    this->wait_for(2, 2);
+    CHECK(this->ask("GET", "/q/x", 600).result_int() == 504);
+    // The server is let go of soon after each answer.
+    CHECK(wait_until([&] { return second.abandoned() >= 2; }));
+}
+
+// Guards against servers that work on for a caller who has gone.
+TEST_CASE_FIXTURE(gateway_fixture, "a caller's close reaches the server")
+{
+    auto& server = this->add_server("plain", "i-1");
+    server.set_mode(server_mode::silent);
+    this->put_config(1, 0);
+    this->wait_for(1, 1);
+    raw_client caller(this->front->endpoint());
+    caller.send(this->make_request("GET", "/p/x", 60000));
+    REQUIRE(wait_until([&] { return server.runs().size() == 1; }));
+    caller.close();
+    CHECK(wait_until([&] { return server.abandoned() == 1; }));
+}
+
+// Guards against 404 for a route that a newer version may hold, and against an
+// answer other than 503 while no configuration is known.
+TEST_CASE_FIXTURE(gateway_fixture, "requests without a route are told so")
+{
+    CHECK(this->ask("GET", "/p/x").result_int() == 503);
+    this->put_config(1, 0);
+    this->wait_for(0, 1);
+    CHECK(this->ask("GET", "/unknown/x").result_int() == 404);
+    // A route whose service has no server.
+    CHECK(this->ask("GET", "/p/x").result_int() == 503);
+}
--- /dev/null
+++ b/Tests/gateway/gateway_fixture.hpp
@@ -0,0 +1,191 @@
+#ifndef WISTERIAHATCH_TESTS_GATEWAY_GATEWAY_FIXTURE_HPP
+#define WISTERIAHATCH_TESTS_GATEWAY_GATEWAY_FIXTURE_HPP
+
+#include "forwarder.hpp"
+#include "gateway_state.hpp"
+#include "net/forwarding_dialect.hpp"
+#include "net/http_client.hpp"
+#include "net/loopback.hpp"
+#include "platform/headers.hpp"
+#include "platform/store_client.hpp"
+#include "source_watcher.hpp"
+#include "StandIns/server/stand_in_server.hpp"
+#include "StandIns/store/stand_in_store.hpp"
+
+#include <boost/asio/post.hpp>
+#include <deque>
+#include <doctest/doctest.h>
+#include <future>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wisteriahatch
+{
+
+// A gateway on loopback between a caller, servers and a store that the test
+// controls. Declared in the order of the ends: what uses the workers first.
+struct gateway_fixture
+{
+    worker_pool outside{1};
+    worker_pool workers{1};
+    stand_in_store store{outside, any_loopback_port()};
+    std::deque<stand_in_server> servers;
+    forwarding_metrics measures;
+    gateway_state state{.routes = nullptr,
+                        .upstreams = {},
+                        .budgets = repeat_budgets({.ratio = 1, .reserve = 50}),
+                        .split = {},
+                        .random = std::mt19937_64(1)};
+    std::optional<store_client> client;
+    std::optional<upstream_pool> pool;
+    std::optional<source_watcher> watcher;
+    std::optional<forwarder> requests;
+    std::optional<http_server> front;
+    unsigned last_request = 0;
+
+    gateway_fixture()
+    {
+        REQUIRE(this->store.start());
+        this->outside.start();
+        this->client.emplace(this->store.endpoint());
+        upstream_pool::options options;
+        options.connect_timeout = std::chrono::milliseconds(300);
+        const auto dialect = make_forwarding_dialect(platform_headers());
+        options.dialect = dialect;
+        this->pool.emplace(this->workers, options);
+        this->watcher.emplace(
+            source_watcher::options{.worker = &this->workers.at(0),
+                                    .source = &*this->client,
+                                    .state = &this->state,
+                                    .upstreams = &*this->pool});
+        this->requests.emplace(
+            forwarder::options{.worker = &this->workers.at(0),
+                               .state = &this->state,
+                               .upstreams = &*this->pool,
+                               .dialect = dialect,
+                               .names = platform_headers(),
+                               .failure_domain = "z",
+                               .measures = &this->measures});
+        this->front.emplace(
+            this->workers, http_server::options{.listen = any_loopback_port()},
+            [this](http_request request)
+            { return this->requests->handle(std::move(request)); });
+        REQUIRE(this->front->start());
+        this->workers.start();
+        boost::asio::post(this->workers.at(0),
+                          [this] { this->watcher->start(); });
+    }
+
+    ~gateway_fixture()
+    {
+        this->workers.stop();
+        this->outside.stop();
+    }
+
+    // Runs on the gateway's worker and returns what it returns.
+    template <class Action>
+    auto on_worker(Action action)
+    {
+        std::promise<decltype(action())> done;
+        boost::asio::post(this->workers.at(0),
+                          [&] { done.set_value(action()); });
+        return done.get_future().get();
+    }
+
+    // Adds a server of the service and registers it under `id`, by default its
+    // own.
+    stand_in_server& add_server(const std::string& service,
+                                const std::string& id,
+                                std::string body = "answer",
+                                const std::string& registered_id = "")
+    {
+        auto& server = this->servers.emplace_back(
+            this->outside,
+            stand_in_server::options{.listen = any_loopback_port(),
+                                     .id = id,
+                                     .body = std::move(body)});
+        REQUIRE(server.start());
+        const auto name = registered_id.empty() ? id : registered_id;
+        this->store.put(
+            "servers/" + name,
+            R"({"service":")" + service + R"(","address":")" +
+                format_endpoint(server.endpoint()) +
+                R"(","zone":"z","version":"v1","capacity":2,"state":"ready",)"
+                R"("warmupLeftMs":0,"sequence":1,"born":1700000000000})");
+        return server;
+    }
+
+    // Publishes routes: "/q/" scattered over s1 to sN, "/p/" to "plain"
+    // (idempotent), "/once/" to "plain" (non-idempotent).
+    void put_config(unsigned version, unsigned shards, unsigned target_ms = 400,
+                    double min_ratio = 0.5)
+    {
+        std::string names;
+        for (unsigned shard = 1; shard <= shards; ++shard)
+            names +=
+                (shard == 1 ? "\"s" : ",\"s") + std::to_string(shard) + "\"";
+        const std::string common =
+            R"("host":"h","timeoutMs":2000,"targetLatencyMs":)" +
+            std::to_string(target_ms) + R"(,"priority":1,"maxAttempts":2,)";
+        std::string routes =
+            R"({"name":"p","prefix":"/p/",)" + common +
+            R"("routeKind":"idempotent","service":"plain"},)"
+            R"({"name":"once","prefix":"/once/",)" +
+            common + R"("routeKind":"non_idempotent","service":"plain"})";
+        if (shards > 0)
+            routes += R"(,{"name":"q","prefix":"/q/",)" + common +
+                      R"("routeKind":"idempotent","gather":[)" + names +
+                      R"(],"topK":3,"minShardRatio":)" +
+                      std::to_string(min_ratio) + "}";
+        this->store.put("op/config",
+                        R"({"version":)" + std::to_string(version) +
+                            R"(,"routes":[)" + routes +
+                            R"(],"services":[{"name":"plain",)"
+                            R"("healthPath":"/health","maxConns":800}],)"
+                            R"("limits":{}})");
+    }
+
+    // Waits until the gateway knows this many upstreams and this version.
+    void wait_for(std::size_t upstreams, std::uint64_t version)
+    {
+        REQUIRE(wait_until(
+            [&]
+            {
+                return this->on_worker(
+                    [&]
+                    {
+                        return this->state.upstreams.listed().size() ==
+                                   upstreams &&
+                               this->state.routes &&
+                               this->state.routes->version() == version;
+                    });
+            }));
+    }
+
+    // Text of the next request; its id is "r" and its number.
+    std::string make_request(const std::string& method,
+                             const std::string& target,
+                             unsigned deadline_ms = 1500)
+    {
+        const std::string body = method == "POST" ? "payload" : "";
+        return method + " " + target + " HTTP/1.1\r\nHost: h\r\nRequest-Id: r" +
+               std::to_string(++this->last_request) +
+               "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
+               "\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+
+    http::response<http::string_body> ask(const std::string& method,
+                                          const std::string& target,
+                                          unsigned deadline_ms = 1500)
+    {
+        raw_client caller(this->front->endpoint());
+        caller.send(this->make_request(method, target, deadline_ms));
+        return caller.read();
+    }
+};
+
+}
+
+#endif
--- a/Tests/process/run.sh
+++ b/Tests/process/run.sh
@@ -8,6 +8,7 @@
 . Meta/fleet.sh
 . Tests/process/checks.sh
 . Tests/process/malformed_input.sh
+. Tests/process/gateway.sh
 trap fleet_stop EXIT
 
 document=Examples/blue_mahoe.ini
@@ -185,7 +186,8 @@
 
 all_cases=(kill_entry kill_upstreams pause_entry stop_entry silent_connections
     platform_down_at_start no_configuration rolling_replacement operators_race
-    leaving_upstream connection_limit malformed_requests malformed_replies)
+    leaving_upstream connection_limit malformed_requests malformed_replies
+    gateway_stop gateway_peers gateway_malformed)
 [ "$#" -gt 0 ] || set -- "${all_cases[@]}"
 for name in "$@"; do
     run_case "$name"
