--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -122,7 +122,7 @@
                                  .priority = route.priority,
                                  .is_scattered = route.is_scattered(),
                                  .plan = std::move(plan),
-                                 .measures = this->chosen.measures});
+                                 .log = &this->log});
     auto outcome = co_await session->run();
     if (!outcome)
     {
--- a/Programs/gateway/request_log.cpp
+++ b/Programs/gateway/request_log.cpp
@@ -88,6 +88,25 @@
                {"left_out", std::to_string(*left_out)}});
 }
 
+void request_log::record_attempt(const ended_attempt& attempt)
+{
+    this->measures->count_attempt(attempt.service, to_string(attempt.end));
+    if (attempt.end == attempt_end::answered)
+        return;
+    const auto left_out =
+        this->attempts.admit(std::chrono::steady_clock::now());
+    if (!left_out)
+        return;
+    log_event(log_level::warning, "attempt_ended",
+              {{"id", attempt.request_id},
+               {"service", attempt.service},
+               {"upstream", attempt.upstream},
+               {"end", std::string(to_string(attempt.end))},
+               {"reason", attempt.reason},
+               {"elapsed_ms", to_text(attempt.elapsed)},
+               {"left_out", std::to_string(*left_out)}});
+}
+
 void request_log::record_abandoned(const accepted_request& accepted,
                                    time_point now)
 {
--- a/Programs/gateway/request_log.hpp
+++ b/Programs/gateway/request_log.hpp
@@ -26,9 +26,22 @@
     duration target_latency{0};
 };
 
+// One attempt at an upstream that has ended.
+struct ended_attempt
+{
+    std::string request_id;
+    std::string service;
+    std::string upstream;
+    attempt_end end = attempt_end::failed;
+    // The status, or why there is no reply.
+    std::string reason;
+    duration elapsed{0};
+};
+
 // Logs and counts what became of each request. Requests that ended well and in
 // time, complete and without a repeat, are thinned to most_plain_lines a
-// second; all others are written up to most_other_lines.
+// second; all others are written up to most_other_lines. Attempts without an
+// answer have a bound of their own.
 class request_log
 {
 public:
@@ -40,6 +53,7 @@
     void record_end(const accepted_request& accepted,
                     const forwarded_request& outcome, unsigned status,
                     time_point now);
+    void record_attempt(const ended_attempt& attempt);
     void record_abandoned(const accepted_request& accepted, time_point now);
     // A request without a route, answered with this status. `version` is 0
     // when no routes are known.
@@ -51,6 +65,7 @@
     forwarding_metrics* measures;
     line_budget plain{most_plain_lines};
     line_budget other{most_other_lines};
+    line_budget attempts{most_other_lines};
 };
 
 }
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -1,5 +1,7 @@
 #include "request_session.hpp"
 
+#include "request_log.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -21,6 +23,13 @@
     return std::chrono::steady_clock::now();
 }
 
+// Says with what an attempt ended: the status, or why there is no reply.
+std::string describe(const upstream_result& result)
+{
+    return result ? "status " + std::to_string(result.value().status)
+                  : result.error().message;
+}
+
 bool is_success(const upstream_reply& reply)
 {
     return reply.status >= first_success && reply.status <= last_success;
@@ -171,8 +180,9 @@
     const auto ended = this->calls.extract(attempt);
     if (ended.empty() || ended.mapped().is_released || this->has_ended)
         return;
+    const auto reason = describe(result);
     const auto end = this->judge(attempt, result);
-    this->record(ended.mapped(), end);
+    this->record(ended.mapped(), end, reason);
     this->apply(this->decisions.handle_end(attempt, end, clock_now()));
 }
 
@@ -206,9 +216,15 @@
     return attempt_end::failed;
 }
 
-void request_session::record(const running_call& call, attempt_end end)
+void request_session::record(const running_call& call, attempt_end end,
+                             const std::string& reason)
 {
-    this->chosen.measures->count_attempt(call.service, to_string(end));
+    this->chosen.log->record_attempt({.request_id = this->chosen.request_id,
+                                      .service = call.service,
+                                      .upstream = call.upstream->name(),
+                                      .end = end,
+                                      .reason = reason,
+                                      .elapsed = clock_now() - call.started});
     if (this->chosen.is_scattered)
         return;
     auto& text = this->outcome.upstreams;
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -5,7 +5,6 @@
 #include "net/forwarding_headers.hpp"
 #include "net/http_server.hpp"
 #include "net/upstream_pool.hpp"
-#include "telemetry/forwarding_metrics.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,6 +18,8 @@
 namespace wisteriahatch
 {
 
+class request_log;
+
 // How a forwarded request ended, and the answers of its legs.
 struct forwarded_request
 {
@@ -55,7 +56,7 @@
         // The answers are parts of a merged one; only successes are parts.
         bool is_scattered = false;
         fan_out::options plan;
-        forwarding_metrics* measures = nullptr;
+        request_log* log = nullptr;
     };
 
     // Attempts whose answer is not needed any more keep their connection this
@@ -90,7 +91,8 @@
     // Keeps the reply when it is one to pass on.
     attempt_end judge(attempt_id attempt, upstream_result& outcome);
     // Notes the end of an attempt for the log and the metrics.
-    void record(const running_call& call, attempt_end end);
+    void record(const running_call& call, attempt_end end,
+                const std::string& reason);
     void handle_caller_gone();
     void cancel_released();
 
--- /dev/null
+++ b/Tests/core/process/routing_log.cpp
@@ -0,0 +1,48 @@
+#include "core/process/routing_log.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace wisteriahatch;
+
+// Guards against a peer that misses changes because the log no longer reaches
+// back to its revision.
+TEST_CASE("changes are given from a revision on, or not at all")
+{
+    routing_log log;
+    log.restart(10);
+    CHECK(log.since(9).is_history_lost);
+    CHECK_FALSE(log.since(10).is_history_lost);
+    log.append(11, {.id = "a", .spec = upstream_spec{.id = "a"}});
+    log.append(12, {.id = "a", .spec = {}});
+    CHECK(log.since(10).upstreams.size() == 2);
+    REQUIRE(log.since(11).upstreams.size() == 1);
+    CHECK_FALSE(log.since(11).upstreams[0].spec);
+    CHECK(log.since(12).upstreams.empty());
+    for (std::size_t index = 0; index < routing_log::max_changes; ++index)
+        log.append(13 + index, {.id = "b", .spec = {}});
+    CHECK(log.since(11).is_history_lost);
+    CHECK(log.since(12).upstreams.size() == routing_log::max_changes);
+}
+
+// Guards against changes that are lost or altered on their way.
+TEST_CASE("changes arrive as they were sent")
+{
+    routing_changes sent;
+    sent.revision = 44;
+    sent.routes =
+        std::make_shared<const route_table>(route_table::options{.version = 3});
+    sent.upstreams = {{.id = "a",
+                       .spec = upstream_spec{.id = "a",
+                                             .service = "s",
+                                             .address = "10.0.0.1:80"}},
+                      {.id = "b", .spec = {}}};
+    const auto text = encode_changes(sent);
+    const auto read = decode_changes(text);
+    REQUIRE(read);
+    CHECK(encode_changes(read.value()) == text);
+    CHECK(read.value().upstreams[0].spec == sent.upstreams[0].spec);
+    CHECK_FALSE(read.value().upstreams[1].spec);
+    CHECK(read.value().routes->version() == 3);
+    for (const auto& bad : {std::string("{}"), text.substr(1), std::string()})
+        CHECK_FALSE(decode_changes(bad));
+}
--- /dev/null
+++ b/Tests/telemetry/forwarding_metrics.cpp
@@ -0,0 +1,45 @@
+#include "telemetry/forwarding_metrics.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+// Guards against a metric that is not exported under its documented name, and
+// against labels without a bound: routes are added each day.
+TEST_CASE("the text has every metric, and labels are bounded")
+{
+    forwarding_metrics measures;
+    for (unsigned route = 0; route < 2 * forwarding_metrics::max_label_values;
+         ++route)
+        measures.observe_request("r" + std::to_string(route), 200, 20ms);
+    measures.observe_coverage("r0", 0.9);
+    measures.count_attempt("s", "refused");
+    measures.count_repeats("r0", 2);
+    measures.set_routes_version(7);
+    measures.set_source_age(1500ms);
+    measures.set_upstreams(3);
+    measures.set_members(9);
+    measures.set_running_requests(4);
+    measures.set_ready(true);
+    measures.set_dropped_log_lines(5);
+    const auto text = measures.text();
+    for (const char* line :
+         {"wisteriahatch_request_duration_seconds_count{route=\"r0\",status="
+          "\"200\"} 1\n",
+          "wisteriahatch_request_duration_seconds_count{route=\"other\","
+          "status=\"200\"} 200\n",
+          "wisteriahatch_request_coverage_ratio_sum{route=\"r0\"} 0.9",
+          "wisteriahatch_attempts_total{end=\"refused\",service=\"s\"} 1\n",
+          "wisteriahatch_repeats_total{route=\"r0\"} 2\n",
+          "wisteriahatch_routes_version 7\n",
+          "wisteriahatch_source_age_seconds 1.5\n",
+          "wisteriahatch_upstreams 3\n", "wisteriahatch_members_alive 9\n",
+          "wisteriahatch_running_requests 4\n", "wisteriahatch_ready 1\n",
+          "wisteriahatch_log_lines_dropped 5\n"})
+    {
+        CAPTURE(line);
+        CHECK(text.find(line) != std::string::npos);
+    }
+}
