--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -51,7 +51,7 @@
     : worker(own_worker)
     , name(std::move(upstream))
     , address(std::move(upstream_place))
-    , values(chosen)
+    , values(std::move(chosen))
     , finished(std::move(handler))
     , queue({.connection_share = this->address.connection_share,
              .min_limit = this->address.min_concurrency})
--- a/Libraries/net/upstream_pool.cpp
+++ b/Libraries/net/upstream_pool.cpp
@@ -57,7 +57,7 @@
 public:
     implementation(worker_pool& pool, options chosen)
         : workers(pool)
-        , values(chosen)
+        , values(std::move(chosen))
         , parts(pool.size())
     {
     }
@@ -249,7 +249,7 @@
 };
 
 upstream_pool::upstream_pool(worker_pool& workers, options values)
-    : state(std::make_shared<implementation>(workers, values))
+    : state(std::make_shared<implementation>(workers, std::move(values)))
 {
 }
 
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -13,6 +13,6 @@
 [ -f "$folder/compile_commands.json" ] ||
     cmake -S . -B "$folder" -G Ninja >/dev/null
 git ls-files -co --exclude-standard \
-    'Libraries/*.cpp' 'Programs/*.cpp' 'StandIns/*.cpp' |
+    'Libraries/*.cpp' 'Programs/*.cpp' 'StandIns/*.cpp' 'platform/*.cpp' |
     xargs -P "$(nproc)" -n 1 clang-tidy -p "$folder" --quiet 2>/dev/null
 echo "lint: clean"
--- a/Programs/entry/settings.cpp
+++ b/Programs/entry/settings.cpp
@@ -1,6 +1,6 @@
 #include "settings.hpp"
 
-#include "net/http_client.hpp"
+#include "net/settings_file.hpp"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
-#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
 #include <string_view>
 
 namespace wisteriahatch
@@ -20,36 +20,6 @@
 namespace asio = boost::asio;
 using boost::property_tree::ptree;
 
-error invalid(const std::string& message)
-{
-    return {error_kind::invalid_settings, message};
-}
-
-result<void> read_name(settings& values, const std::string& text)
-{
-    values.name = text;
-    return boost::outcome_v2::success();
-}
-
-result<void> read_environment(settings& values, const std::string& text)
-{
-    values.environment = text;
-    return boost::outcome_v2::success();
-}
-
-result<void> read_failure_domain(settings& values, const std::string& text)
-{
-    values.failure_domain = text;
-    return boost::outcome_v2::success();
-}
-
-template <asio::ip::tcp::endpoint settings::*Member>
-result<void> read_address(settings& values, const std::string& text)
-{
-    BOOST_OUTCOME_TRY(values.*Member, parse_endpoint(text));
-    return boost::outcome_v2::success();
-}
-
 result<void> read_platform(settings& values, const std::string& text)
 {
     BOOST_OUTCOME_TRY(auto address, parse_endpoint(text));
@@ -65,8 +35,9 @@
     if (boost::conversion::try_lexical_convert(text, value) &&
         value >= lowest && value <= highest)
         return value;
-    return invalid("write a whole number from " + std::to_string(lowest) +
-                   " to " + std::to_string(highest));
+    return invalid_setting("write a whole number from " +
+                           std::to_string(lowest) + " to " +
+                           std::to_string(highest));
 }
 
 result<void> read_workers(settings& values, const std::string& text)
@@ -100,7 +71,7 @@
     std::string message = "write one of:";
     for (const auto choice : choices)
         message.append(" ").append(choice);
-    return invalid(message);
+    return invalid_setting(message);
 }
 
 result<void> read_selector(settings& values, const std::string& text)
@@ -135,32 +106,21 @@
                        {"debug", "info", "warning", "error"});
 }
 
-enum class presence : std::uint8_t
-{
-    required,
-    optional,
-};
-
-// One key of the file and the function that reads it.
-struct key_reader
-{
-    std::string_view section;
-    std::string_view key;
-    presence needed;
-    result<void> (*read)(settings&, const std::string&);
-};
+using key_reader = settings_key<settings>;
 
 constexpr std::array key_readers{
-    key_reader{"instance", "name", presence::required, read_name},
-    key_reader{"instance", "environment", presence::required, read_environment},
+    key_reader{"instance", "name", presence::required,
+               read_text<&settings::name, settings>},
+    key_reader{"instance", "environment", presence::required,
+               read_text<&settings::environment, settings>},
     key_reader{"instance", "failure_domain", presence::required,
-               read_failure_domain},
+               read_text<&settings::failure_domain, settings>},
     key_reader{"instance", "caller_address", presence::required,
-               read_address<&settings::caller_address>},
+               read_address<&settings::caller_address, settings>},
     key_reader{"instance", "admin_address", presence::required,
-               read_address<&settings::admin_address>},
+               read_address<&settings::admin_address, settings>},
     key_reader{"instance", "peer_address", presence::required,
-               read_address<&settings::peer_address>},
+               read_address<&settings::peer_address, settings>},
     key_reader{"instance", "workers", presence::optional, read_workers},
     key_reader{"platform", "address", presence::optional, read_platform},
     key_reader{"peers", "seeds", presence::optional, read_seeds},
@@ -192,12 +152,13 @@
         place += key;
         const auto* reader = find_reader(section, key);
         if (reader == nullptr)
-            return invalid(place + " is not a known setting; remove it or see "
+            return invalid_setting(place +
+                                   " is not a known setting; remove it or see "
                                    "docs/wisteriahatch-entry.1.md");
         const auto text = value.data();
         const auto read = reader->read(values, text);
         if (!read)
-            return invalid(
+            return invalid_setting(
                 place.append(" = \"").append(text).append("\": ").append(
                     read.error().message));
     }
@@ -208,16 +169,7 @@
 
 result<settings> read_settings(const std::string& path)
 {
-    ptree tree;
-    try
-    {
-        boost::property_tree::read_ini(path, tree);
-    }
-    catch (const boost::property_tree::ini_parser_error& failure)
-    {
-        return invalid(std::string(failure.what()) +
-                       "; correct that line of the settings file");
-    }
+    BOOST_OUTCOME_TRY(const auto tree, read_settings_file(path));
     settings values;
     for (const auto& [section, keys] : tree)
     {
@@ -229,9 +181,9 @@
         const bool is_present = section != tree.not_found() &&
                                 section->second.count(std::string(each.key));
         if (each.needed == presence::required && !is_present)
-            return invalid("[" + std::string(each.section) + "] " +
-                           std::string(each.key) + " is missing; add it to " +
-                           path);
+            return invalid_setting("[" + std::string(each.section) + "] " +
+                                   std::string(each.key) +
+                                   " is missing; add it to " + path);
     }
     return values;
 }
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -78,7 +78,7 @@
     co_return std::move(this->outcome);
 }
 
-void request_session::apply(std::vector<fan_out::action> actions)
+void request_session::apply(const std::vector<fan_out::action>& actions)
 {
     for (const auto& action : actions)
         std::visit([this](const auto& each) { this->act(each); }, action);
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -80,7 +80,7 @@
         bool is_released = false;
     };
 
-    void apply(std::vector<fan_out::action> actions);
+    void apply(const std::vector<fan_out::action>& actions);
     void act(const fan_out::send& action);
     void act(const fan_out::release& action);
     void act(const fan_out::wake& action);
--- a/Programs/gateway/settings.cpp
+++ b/Programs/gateway/settings.cpp
@@ -1,6 +1,6 @@
 #include "settings.hpp"
 
-#include "net/http_client.hpp"
+#include "net/settings_file.hpp"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
-#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
 #include <string_view>
 
 namespace wisteriahatch
@@ -20,31 +20,12 @@
 namespace asio = boost::asio;
 using boost::property_tree::ptree;
 
-error invalid(const std::string& message)
-{
-    return {error_kind::invalid_settings, message};
-}
-
-template <std::string gateway_settings::*Member>
-result<void> read_text(gateway_settings& values, const std::string& text)
-{
-    values.*Member = text;
-    return boost::outcome_v2::success();
-}
-
-template <auto Member>
-result<void> read_address(gateway_settings& values, const std::string& text)
-{
-    BOOST_OUTCOME_TRY(values.*Member, parse_endpoint(text));
-    return boost::outcome_v2::success();
-}
-
 template <double gateway_settings::*Member>
 result<void> read_number(gateway_settings& values, const std::string& text)
 {
     if (!boost::conversion::try_lexical_convert(text, values.*Member) ||
         values.*Member < 0)
-        return invalid("write a number that is not negative");
+        return invalid_setting("write a number that is not negative");
     return boost::outcome_v2::success();
 }
 
@@ -52,7 +33,7 @@
 {
     double seconds = 0;
     if (!boost::conversion::try_lexical_convert(text, seconds) || seconds <= 0)
-        return invalid("write a positive number of seconds");
+        return invalid_setting("write a positive number of seconds");
     values.shutdown_grace =
         std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::duration<double>(seconds));
@@ -74,44 +55,35 @@
     return boost::outcome_v2::success();
 }
 
-enum class presence : std::uint8_t
-{
-    required,
-    optional,
-};
-
-// One key of the file and the function that reads it.
-struct key_reader
-{
-    std::string_view section;
-    std::string_view key;
-    presence needed;
-    result<void> (*read)(gateway_settings&, const std::string&);
-};
+using key_reader = settings_key<gateway_settings>;
 
 constexpr std::array key_readers{
     key_reader{"instance", "name", presence::optional,
-               read_text<&gateway_settings::name>},
+               read_text<&gateway_settings::name, gateway_settings>},
     key_reader{"instance", "failure_domain", presence::optional,
-               read_text<&gateway_settings::failure_domain>},
-    key_reader{"instance", "caller_address", presence::required,
-               read_address<&gateway_settings::caller_address>},
-    key_reader{"instance", "ready_address", presence::required,
-               read_address<&gateway_settings::ready_address>},
-    key_reader{"instance", "metrics_address", presence::optional,
-               read_address<&gateway_settings::metrics_address>},
+               read_text<&gateway_settings::failure_domain, gateway_settings>},
+    key_reader{
+        "instance", "caller_address", presence::required,
+        read_address<&gateway_settings::caller_address, gateway_settings>},
+    key_reader{
+        "instance", "ready_address", presence::required,
+        read_address<&gateway_settings::ready_address, gateway_settings>},
+    key_reader{
+        "instance", "metrics_address", presence::optional,
+        read_address<&gateway_settings::metrics_address, gateway_settings>},
     key_reader{"peers", "address", presence::optional,
-               read_address<&gateway_settings::peer_address>},
+               read_address<&gateway_settings::peer_address, gateway_settings>},
     key_reader{"peers", "seeds", presence::optional, read_seeds},
-    key_reader{"store", "address", presence::required,
-               read_address<&gateway_settings::store_address>},
+    key_reader{
+        "store", "address", presence::required,
+        read_address<&gateway_settings::store_address, gateway_settings>},
     key_reader{"shutdown", "grace_s", presence::optional, read_grace},
     key_reader{"repeats", "ratio", presence::optional,
                read_number<&gateway_settings::repeat_ratio>},
     key_reader{"repeats", "slack", presence::optional,
                read_number<&gateway_settings::repeat_slack>},
     key_reader{"log", "level", presence::optional,
-               read_text<&gateway_settings::log_level>},
+               read_text<&gateway_settings::log_level, gateway_settings>},
 };
 
 // Returns what is wrong with one key, or an empty text.
@@ -136,22 +108,14 @@
 
 result<gateway_settings> read_gateway_settings(const std::string& path)
 {
-    ptree tree;
-    try
-    {
-        boost::property_tree::read_ini(path, tree);
-    }
-    catch (const boost::property_tree::ini_parser_error& failure)
-    {
-        return invalid(std::string(failure.what()) +
-                       "; correct that line of the settings file");
-    }
+    BOOST_OUTCOME_TRY(const auto tree, read_settings_file(path));
     gateway_settings values;
     std::string problems;
     for (const auto& reader : key_readers)
         problems += read_key(values, tree, reader);
     if (!problems.empty())
-        return invalid(problems + "see docs/wisteriahatch-gateway.1.md");
+        return invalid_setting(problems +
+                               "see docs/wisteriahatch-gateway.1.md");
     return values;
 }
 
--- /dev/null
+++ b/Tests/gateway/settings.cpp
@@ -0,0 +1,91 @@
+#include "settings.hpp"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string valid = "[instance]\n"
+                          "caller_address = 127.0.0.1:1\n"
+                          "ready_address = 127.0.0.1:2\n"
+                          "[store]\n"
+                          "address = 127.0.0.1:3\n";
+
+result<gateway_settings> read(const std::string& text)
+{
+    const auto path =
+        std::filesystem::temp_directory_path() /
+        ("wisteriahatch-settings-" + std::to_string(::getpid()) + ".ini");
+    std::ofstream(path) << text;
+    auto values = read_gateway_settings(path);
+    std::filesystem::remove(path);
+    return values;
+}
+
+}
+
+// Guards against a start that fails for a field of the platform that is new or
+// empty, and against a fault that is passed over.
+TEST_CASE("settings are checked, unknown and empty ones are not")
+{
+    struct scenario
+    {
+        std::string text;
+        // Part of the error; empty when the file is valid.
+        std::string problem;
+    };
+    for (const auto& [text, problem] : std::vector<scenario>{
+             {valid, ""},
+             {valid + "new = 1\n[newer]\nkey = {}\n", ""},
+             {valid + "[peers]\nseeds =\naddress =\n", ""},
+             {valid + "[peers]\nseeds = nonsense, 127.0.0.1:4\n", ""},
+             {"", "[instance] caller_address is missing"},
+             {"", "[store] address is missing"},
+             {valid + "[shutdown]\ngrace_s = soon\n", "grace_s"},
+             {valid + "[shutdown]\ngrace_s = 0\n", "grace_s"},
+             {valid + "[repeats]\nratio = -1\n", "ratio"},
+             {valid + "[peers]\naddress = host:1\n", "[peers] address"},
+             {"no section\n", "correct that line"}})
+    {
+        CAPTURE(text);
+        const auto values = read(text);
+        CHECK(values.has_value() == problem.empty());
+        if (!values)
+            CHECK(values.error().message.find(problem) != std::string::npos);
+    }
+}
+
+// Guards against a value that is read under a wrong key.
+TEST_CASE("every setting is read")
+{
+    const auto values =
+        read("[instance]\nname = n\nfailure_domain = z\n"
+             "caller_address = 127.0.0.1:1\nready_address = 127.0.0.1:2\n"
+             "metrics_address = 127.0.0.1:5\n"
+             "[peers]\naddress = 127.0.0.1:6\nseeds = 127.0.0.1:7,127.0.0.1:8\n"
+             "[store]\naddress = 127.0.0.1:3\n[shutdown]\ngrace_s = 2.5\n"
+             "[repeats]\nratio = 0.25\nslack = 58\n[log]\nlevel = warning\n");
+    REQUIRE(values);
+    const auto& read_values = values.value();
+    CHECK(read_values.name == "n");
+    CHECK(read_values.failure_domain == "z");
+    CHECK(read_values.caller_address.port() == 1);
+    CHECK(read_values.ready_address.port() == 2);
+    CHECK(read_values.store_address.port() == 3);
+    CHECK(read_values.metrics_address->port() == 5);
+    CHECK(read_values.peer_address->port() == 6);
+    CHECK(read_values.seeds ==
+          std::vector<std::string>{"127.0.0.1:7", "127.0.0.1:8"});
+    CHECK(read_values.shutdown_grace == 2500ms);
+    CHECK(read_values.repeat_ratio == 0.25);
+    CHECK(read_values.repeat_slack == 58);
+    CHECK(read_values.log_level == "warning");
+}
