core, gateway: Answer a round trip before the target latency

Cause: a scattered request that lacked a shard was answered 6 ms before its target, whatever the distance to its caller.

The way is now read from the caller's connection (TCP_INFO), counted twice for the first request of a connection, whose handshake the caller waits for too. What follows from it is decided in core/request/request_schedule.

Ruled out: processor time (without it the same answers were late); a larger constant, which would take the same time from callers that are near.

--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -29,6 +29,10 @@
     message_headers headers;
     std::string body;
     time_point received;
+    // Of the peer's connection; 0 where it is unknown.
+    duration round_trip{0};
+    // The peer opened its connection for this request.
+    bool is_first_on_connection = false;
     // Set to true, on the worker of the request, when the peer closed its
     // connection before the reply was written.
     std::shared_ptr<bool> is_peer_gone;
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -1,5 +1,7 @@
 #include "net/http_session.hpp"
 
+#include "net/round_trip.hpp"
+
 #include <exception>
 #include <string>
 #include <utility>
@@ -100,6 +102,8 @@
     this->is_head = message.get().method() == http::verb::head;
     request.body = std::move(message.get().body());
     request.received = std::chrono::steady_clock::now();
+    request.round_trip = round_trip(this->stream.socket());
+    request.is_first_on_connection = this->request_number == 0;
     request.is_peer_gone = std::make_shared<bool>(false);
     request.on_peer_gone = std::make_shared<std::function<void()>>();
     ++this->request_number;
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -20,15 +20,6 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 
-// Kept back from a caller's deadline for the way of the answer.
-constexpr milliseconds deadline_margin{10};
-// Kept back from the target latency: the ways to and from the caller, and
-// timers that fire late.
-constexpr milliseconds target_margin{6};
-// Part of the target latency after which a leg without an answer is hedged.
-constexpr unsigned hedge_divisor = 3;
-// Part of the target latency after which a request to one upstream is hedged.
-constexpr double single_hedge_ratio = 0.7;
 // A source that is silent for this long may hold newer routes.
 constexpr std::chrono::seconds stale_source{6};
 // Seconds after which a refused caller may return, as sent.
@@ -88,6 +79,7 @@
 {
     accepted_request accepted;
     accepted.received = request.received;
+    accepted.round_trip = request.round_trip;
     accepted.id =
         std::string(find_header(request.headers, this->chosen.names.request_id)
                         .value_or(""));
@@ -99,9 +91,14 @@
         co_return this->refuse_unrouted(request, accepted.id);
     const auto patience = read_patience(request, this->chosen.names.deadline,
                                         accepted.route->timeout);
-    accepted.deadline =
-        accepted.received + std::max(patience / 2, patience - deadline_margin);
     accepted.target_latency = accepted.route->target_latency;
+    accepted.schedule =
+        make_schedule({.received = accepted.received,
+                       .patience = patience,
+                       .target_latency = accepted.target_latency,
+                       .round_trip = request.round_trip,
+                       .is_first_on_connection = request.is_first_on_connection,
+                       .is_scattered = accepted.route->is_scattered()});
     co_return co_await this->forward(std::move(request), std::move(accepted));
 }
 
@@ -118,7 +115,7 @@
                                  .names = &this->chosen.names,
                                  .request = std::move(request),
                                  .request_id = accepted.id,
-                                 .deadline = accepted.deadline,
+                                 .deadline = accepted.schedule.deadline,
                                  .priority = route.priority,
                                  .is_scattered = route.is_scattered(),
                                  .plan = std::move(plan),
@@ -160,22 +157,16 @@
     plan.failure_domain = this->chosen.failure_domain;
     plan.retries = route.retries;
     plan.max_attempts = route.max_attempts;
-    plan.deadline = accepted.deadline;
-    plan.answer_by =
-        accepted.received + std::max(accepted.target_latency / 2,
-                                     accepted.target_latency - target_margin);
+    plan.deadline = accepted.schedule.deadline;
+    plan.answer_by = accepted.schedule.answer_by;
+    plan.hedge_delay = accepted.schedule.hedge_delay;
     if (route.is_scattered())
     {
         plan.services = route.shards;
         plan.min_coverage = route.min_coverage;
-        plan.hedge_delay = accepted.target_latency / hedge_divisor;
     }
     else
-    {
         plan.services = {state.split.choose(route)};
-        plan.hedge_delay = std::chrono::duration_cast<duration>(
-            accepted.target_latency * single_hedge_ratio);
-    }
     return plan;
 }
 
--- a/Programs/gateway/request_log.cpp
+++ b/Programs/gateway/request_log.cpp
@@ -65,10 +65,10 @@
         this->measures->observe_coverage(
             route.name, static_cast<double>(answers) /
                             static_cast<double>(outcome.legs.size()));
-    const bool is_plain = outcome.result == fan_out_result::answered &&
-                          answers == outcome.legs.size() &&
-                          outcome.repeats == 0 &&
-                          elapsed <= accepted.target_latency;
+    const bool is_plain =
+        outcome.result == fan_out_result::answered &&
+        answers == outcome.legs.size() && outcome.repeats == 0 &&
+        elapsed + accepted.round_trip <= accepted.target_latency;
     const auto left_out = (is_plain ? this->plain : this->other).admit(now);
     if (!left_out)
         return;
@@ -84,7 +84,8 @@
                {"sends", std::to_string(outcome.sends)},
                {"repeats", std::to_string(outcome.repeats)},
                {"elapsed_ms", to_text(elapsed)},
-               {"left_ms", to_text(accepted.deadline - now)},
+               {"round_trip_ms", to_text(accepted.round_trip)},
+               {"left_ms", to_text(accepted.schedule.deadline - now)},
                {"left_out", std::to_string(*left_out)}});
 }
 
--- a/Programs/gateway/request_log.hpp
+++ b/Programs/gateway/request_log.hpp
@@ -2,6 +2,7 @@
 #define WISTERIAHATCH_GATEWAY_REQUEST_LOG_HPP
 
 #include "core/process/line_budget.hpp"
+#include "core/request/request_schedule.hpp"
 #include "core/version/route_table.hpp"
 #include "net/http_server.hpp"
 #include "request_session.hpp"
@@ -22,7 +23,9 @@
     // The services of its legs.
     std::vector<std::string> services;
     time_point received;
-    time_point deadline;
+    // Of the caller's connection.
+    duration round_trip{0};
+    request_schedule schedule;
     duration target_latency{0};
 };
 
--- a/Tests/net/http_server.cpp
+++ b/Tests/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_client.hpp"
 #include "net/loopback.hpp"
+#include "net/round_trip.hpp"
 
 #include <array>
 #include <boost/json/parse.hpp>
@@ -45,6 +46,8 @@
     asio::awaitable<http_reply> handle(http_request request)
     {
         ++this->by_worker.at(worker_pool::current());
+        if (request.target == "/connection")
+            co_return describe_connection(request);
         *request.on_peer_gone = [this] { ++this->peers_gone; };
         if (request.target == "/hold")
             co_await this->held.wait();
@@ -55,6 +58,17 @@
         co_return reply;
     }
 
+    // Says whether the request is the first on its connection, and whether the
+    // round trip is known.
+    static http_reply describe_connection(const http_request& request)
+    {
+        http_reply reply;
+        reply.body = request.is_first_on_connection ? "first" : "later";
+        if (request.round_trip > duration::zero())
+            reply.body += " measured";
+        return reply;
+    }
+
     std::string echo()
     {
         http_client_request request;
@@ -83,6 +97,19 @@
     CHECK(wait_until([&] { return this->server.running_requests() == 0; }));
 }
 
+// Guards against answers that are timed without the way to the caller.
+TEST_CASE_FIXTURE(server_fixture, "a request knows its connection")
+{
+    raw_client client(this->server.endpoint());
+    for (const char* expected : {"first measured", "later measured"})
+    {
+        client.get("/connection");
+        CHECK(client.read().body() == expected);
+    }
+    tcp::socket closed(this->workers.at(0));
+    CHECK(round_trip(closed) == duration::zero());
+}
+
 // Guards against requests that end the process, hang, or get an untyped error.
 TEST_CASE_FIXTURE(server_fixture, "unreadable requests get typed errors")
 {
