--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -121,6 +121,11 @@
     return this->repeat_count;
 }
 
+unsigned fan_out::denied_repeats() const
+{
+    return this->denied_count;
+}
+
 bool fan_out::is_open(const leg& each) const
 {
     return !each.answer && !each.is_given_up;
@@ -171,7 +176,10 @@
         return false;
     if (paid == payment::from_budget &&
         !this->chosen.budgets->spend(owner.service))
+    {
+        ++this->denied_count;
         return false;
+    }
     this->attempts.push_back({.leg = index});
     const attempt_id attempt{this->attempts.size()};
     const auto known =
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -139,6 +139,8 @@
 
     // Sends beyond the first of each leg so far.
     unsigned repeats() const;
+    // Sends that the budget of repeats did not allow.
+    unsigned denied_repeats() const;
 
 private:
     // An upstream that was chosen for a leg.
@@ -200,6 +202,7 @@
     std::vector<known_attempt> attempts;
     std::vector<action> actions;
     unsigned repeat_count = 0;
+    unsigned denied_count = 0;
     bool may_have_run = false;
     bool has_ended = false;
 };
--- a/Libraries/core/version/route_table.cpp
+++ b/Libraries/core/version/route_table.cpp
@@ -22,6 +22,11 @@
 
 }
 
+std::string_view to_string(retry_rule rule)
+{
+    return rule == retry_rule::idempotent ? "idempotent" : "at_most_once";
+}
+
 route_table::route_table(options chosen)
     : values(std::move(chosen))
 {
--- a/Libraries/core/version/route_table.hpp
+++ b/Libraries/core/version/route_table.hpp
@@ -24,6 +24,8 @@
     at_most_once,
 };
 
+std::string_view to_string(retry_rule rule);
+
 // A service that gets a share of a route's requests.
 struct weighted_service
 {
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -163,6 +163,7 @@
 {
     this->outcome.result = action.result;
     this->outcome.repeats = this->decisions.repeats();
+    this->outcome.denied_repeats = this->decisions.denied_repeats();
     this->outcome.legs = action.legs;
     for (const auto& leg : action.legs)
     {
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -36,6 +36,7 @@
     std::string upstreams;
     unsigned sends = 0;
     unsigned repeats = 0;
+    unsigned denied_repeats = 0;
 };
 
 // Sends one caller's request to the upstreams that its fan_out chooses. Lives
