core, gateway: Keep connections to home upstreams only

Where connections are scarce an instance now keeps idle ones to a few upstreams of each service, chosen by rendezvous hashing, its own failure domain first; connections to others close after 2 s.

Sites of 7 and 9 instances are not affected: all upstreams are home there after the first 3 s.

--- a/Libraries/core/connection/upstream_choice.cpp
+++ b/Libraries/core/connection/upstream_choice.cpp
@@ -13,8 +13,10 @@
 constexpr double score_spread = 0.2;
 
 // In the unit of scores.
-constexpr double domain_penalty =
-    static_cast<double>(std::chrono::nanoseconds(other_domain_penalty).count());
+double to_score(std::chrono::nanoseconds time)
+{
+    return static_cast<double>(time.count());
+}
 
 // Ranks an upstream; the lowest rank is chosen.
 struct upstream_rank
@@ -43,8 +45,11 @@
     {
         if (each->state->is_misdirected(now))
             continue;
-        const double distance =
-            each->spec.failure_domain == failure_domain ? 0 : domain_penalty;
+        double distance = 0;
+        if (each->spec.failure_domain != failure_domain)
+            distance += to_score(other_domain_penalty);
+        if (!each->state->is_home())
+            distance += to_score(other_home_penalty);
         const upstream_rank rank{
             .is_leaving = each->leaving_since.has_value(),
             .is_ejected = each->state->is_ejected(now),
--- a/Libraries/core/connection/upstream_choice.hpp
+++ b/Libraries/core/connection/upstream_choice.hpp
@@ -15,6 +15,11 @@
 // another domain as soon as the own one would keep it waiting.
 inline constexpr std::chrono::milliseconds other_domain_penalty{30};
 
+// Added to the expected time of an upstream to which this instance keeps no
+// connection: a new one has to be opened, and takes one of those that other
+// instances may need.
+inline constexpr std::chrono::milliseconds other_home_penalty{3};
+
 // Returns the upstream of the group that is expected to answer first, or
 // nullptr when there is none. Upstreams that leave, and after them ejected
 // ones, are chosen only when there is no other; one whose address belongs to
--- a/Libraries/core/connection/upstream_state.cpp
+++ b/Libraries/core/connection/upstream_state.cpp
@@ -134,6 +134,16 @@
     return this->draining;
 }
 
+void upstream_state::set_home(bool value)
+{
+    this->home = value;
+}
+
+bool upstream_state::is_home() const
+{
+    return this->home;
+}
+
 void upstream_state::set_reported_load(double value)
 {
     this->load = value;
--- a/Libraries/core/connection/upstream_state.hpp
+++ b/Libraries/core/connection/upstream_state.hpp
@@ -73,6 +73,11 @@
     void set_draining(bool value);
     bool is_draining() const;
 
+    // Whether this process keeps connections to the upstream; see
+    // home_upstreams. True until it is said otherwise.
+    void set_home(bool value);
+    bool is_home() const;
+
     void set_reported_load(double load);
     double reported_load() const;
 
@@ -110,6 +115,7 @@
     std::atomic<std::int64_t> ejected_until_nanoseconds{0};
     std::atomic<std::int64_t> misdirected_until_nanoseconds{0};
     std::atomic<bool> draining{false};
+    std::atomic<bool> home{true};
     std::atomic<double> load{0};
     std::atomic<std::uint64_t> versions[max_versions]{};
     // 0 until the replica first said what it holds; odd while `versions` is
--- /dev/null
+++ b/Libraries/core/process/home_upstreams.cpp
@@ -0,0 +1,78 @@
+#include "core/process/home_upstreams.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+#include <xxhash.h>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+// An upstream's place in the order of an instance; the least ones are home.
+struct preference
+{
+    bool is_leaving = false;
+    bool is_remote = false;
+    std::uint64_t weight = 0;
+    std::string_view id;
+
+    bool operator<(const preference& other) const
+    {
+        return std::tie(this->is_leaving, this->is_remote, this->weight,
+                        this->id) < std::tie(other.is_leaving, other.is_remote,
+                                             other.weight, other.id);
+    }
+};
+
+std::uint64_t hash(std::string_view text, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::size_t count_homes(std::size_t upstreams,
+                        const home_upstreams::options& chosen)
+{
+    const double connections = static_cast<double>(upstreams) *
+                               chosen.max_connections *
+                               home_upstreams::idle_use_ratio;
+    const auto share = static_cast<std::size_t>(
+        connections /
+        static_cast<double>(std::max<std::size_t>(1, chosen.instances)));
+    return std::clamp<std::size_t>(share, 1,
+                                   std::max<std::size_t>(1, upstreams));
+}
+
+}
+
+home_upstreams::home_upstreams(const upstream_group& group,
+                               const options& chosen)
+{
+    const auto seed = hash(chosen.instance, 0);
+    std::vector<preference> order;
+    order.reserve(group.size());
+    for (const auto& each : group)
+        order.push_back(
+            {.is_leaving = each->leaving_since.has_value(),
+             .is_remote = each->spec.failure_domain != chosen.failure_domain,
+             .weight = hash(each->spec.id, seed),
+             .id = each->spec.id});
+    std::ranges::sort(order, std::less<preference>());
+    order.resize(std::min(order.size(), count_homes(group.size(), chosen)));
+    for (const auto& each : order)
+        this->ids.emplace_back(each.id);
+}
+
+bool home_upstreams::contains(std::string_view upstream) const
+{
+    return std::ranges::find(this->ids, upstream) != this->ids.end();
+}
+
+std::size_t home_upstreams::size() const
+{
+    return this->ids.size();
+}
+
+}
--- a/Libraries/core/process/upstream_registry.cpp
+++ b/Libraries/core/process/upstream_registry.cpp
@@ -101,6 +101,12 @@
     return found == this->groups.end() ? empty : found->second;
 }
 
+const std::map<std::string, upstream_group, std::less<>>&
+upstream_registry::by_service() const
+{
+    return this->groups;
+}
+
 std::vector<upstream_spec> upstream_registry::listed() const
 {
     std::vector<upstream_spec> specs;
--- a/Libraries/core/process/upstream_registry.hpp
+++ b/Libraries/core/process/upstream_registry.hpp
@@ -76,6 +76,9 @@
     std::optional<time_point> next_expiry() const;
     // Returns the upstreams of a service; empty for an unknown one.
     const upstream_group& group(std::string_view service) const;
+    // The upstreams of every service that has any.
+    const std::map<std::string, upstream_group, std::less<>>&
+    by_service() const;
     // What the directory lists now: without the upstreams that it removed.
     std::vector<upstream_spec> listed() const;
     // Every upstream, by id.
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -254,6 +254,13 @@
     this->idle.put(connection);
 }
 
+duration upstream_client::idle_timeout() const
+{
+    return this->address.idle_timeout > duration::zero()
+               ? duration(this->address.idle_timeout)
+               : duration(this->values.idle_timeout);
+}
+
 void upstream_client::limit_idle(std::size_t most)
 {
     this->idle.limit(most > this->busy ? most - this->busy : 0);
@@ -380,7 +387,7 @@
         this->address.is_leaving || this->address.state->is_draining();
     if (is_leaving)
         this->idle.close_all();
-    this->idle.close_unusable(now() - this->values.idle_timeout);
+    this->idle.close_unusable(now() - this->idle_timeout());
     this->apply(this->queue.expire(now()));
 }
 
--- a/Libraries/net/upstream_client.hpp
+++ b/Libraries/net/upstream_client.hpp
@@ -74,6 +74,7 @@
     // Closes the oldest idle connections until at most `most` connections are
     // left, those in use included.
     void limit_idle(std::size_t most);
+    duration idle_timeout() const;
 
     // Ends a call of which no byte was sent.
     void end_unsent(const task_ptr& task, error_kind kind, std::string message);
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -97,6 +97,9 @@
     // The instance list says that the upstream is leaving. Replies that say
     // otherwise do not revoke it.
     bool is_leaving = false;
+    // Idle connections are closed after this long; 0 takes the pool's
+    // idle_timeout.
+    std::chrono::milliseconds idle_timeout{0};
 };
 
 // Connections and queues of all upstreams. Each upstream belongs to one worker
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -109,7 +109,9 @@
                .source = this->source.get(),
                .peer = this->values.peer_address ? &this->reader : nullptr,
                .state = &this->state,
-               .upstreams = &this->upstreams})
+               .upstreams = &this->upstreams,
+               .instance = format_endpoint(this->values.caller_address),
+               .failure_domain = this->values.failure_domain})
     , peers({.worker = &this->workers.at(0),
              .state = &this->state,
              .watcher = &this->watcher,
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -1,5 +1,6 @@
 #include "source_watcher.hpp"
 
+#include "core/process/home_upstreams.hpp"
 #include "net/http_client.hpp"
 #include "telemetry/log.hpp"
 
@@ -44,9 +45,9 @@
 }
 
 source_watcher::source_watcher(options values)
-    : chosen(values)
-    , pause_timer(*values.worker)
-    , expiry_timer(*values.worker)
+    : chosen(std::move(values))
+    , pause_timer(*this->chosen.worker)
+    , expiry_timer(*this->chosen.worker)
 {
 }
 
@@ -280,8 +281,29 @@
         log_event(log_level::warning, "source_lost", {{"reason", reason}});
 }
 
+void source_watcher::choose_homes()
+{
+    const auto& state = *this->chosen.state;
+    if (!state.routes)
+        return;
+    for (const auto& [service, group] : state.upstreams.by_service())
+    {
+        const auto* limits = state.routes->find_service(service);
+        if (limits == nullptr)
+            continue;
+        const home_upstreams homes(
+            group, {.instance = this->chosen.instance,
+                    .failure_domain = this->chosen.failure_domain,
+                    .instances = this->instances,
+                    .max_connections = limits->max_connections});
+        for (const auto& each : group)
+            each->state->set_home(homes.contains(each->spec.id));
+    }
+}
+
 void source_watcher::publish_upstreams()
 {
+    this->choose_homes();
     std::map<std::string, upstream_address> addresses;
     for (const auto& [id, entry] : this->chosen.state->upstreams.all())
     {
@@ -290,12 +312,16 @@
             continue;
         const auto share = connection_share(this->chosen.state->routes.get(),
                                             entry->spec, this->instances);
+        const auto idle_timeout = entry->state->is_home()
+                                      ? std::chrono::milliseconds(0)
+                                      : brief_idle_timeout;
         // Upstreams also shed while they have room, so that a refusal says
         // little about their load.
         addresses.emplace(id, upstream_address{.endpoint = endpoint.value(),
                                                .connection_share = share,
                                                .min_concurrency = share,
-                                               .state = entry->state});
+                                               .state = entry->state,
+                                               .idle_timeout = idle_timeout});
     }
     this->chosen.upstreams->set_upstreams(std::move(addresses));
 }
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -38,6 +38,9 @@
         configuration_source* peer = nullptr;
         gateway_state* state = nullptr;
         upstream_pool* upstreams = nullptr;
+        // Names this instance among its peers.
+        std::string instance;
+        std::string failure_domain;
     };
 
     // Longest wait of one watch. A watch whose answer was lost is noticed
@@ -56,6 +59,8 @@
 
     // Part of an upstream's connections that all instances use together.
     static constexpr double connection_use_ratio = 0.65;
+    // Connections to upstreams that are not home close after this long.
+    static constexpr std::chrono::seconds brief_idle_timeout{2};
 
     explicit source_watcher(options values);
 
@@ -91,6 +96,8 @@
     void report_contact(bool is_heard, const std::string& reason);
     // Hands the upstreams to the pool.
     void publish_upstreams();
+    // Decides anew to which upstreams this instance keeps connections.
+    void choose_homes();
     void arm_expiry();
 
     options chosen;
--- /dev/null
+++ b/Tests/core/process/home_upstreams.cpp
@@ -0,0 +1,98 @@
+#include "core/process/home_upstreams.hpp"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace wisteriahatch;
+
+namespace
+{
+
+registered_upstream_ptr make_upstream(const std::string& id,
+                                      const std::string& domain)
+{
+    auto entry = std::make_shared<registered_upstream>();
+    entry->spec = {.id = id, .service = "s", .failure_domain = domain};
+    return entry;
+}
+
+upstream_group make_group()
+{
+    return {make_upstream("i-1", "a"), make_upstream("i-2", "b"),
+            make_upstream("i-3", "c")};
+}
+
+}
+
+// Guards against instances that hold more connections than their upstreams
+// accept. Found on dialcraft-amman-grown, day trouble-1: after all processes
+// had lost power, servers reset 21,745 connections beyond their limit of 66.
+TEST_CASE("homes are as many as the connections of all instances allow")
+{
+    struct scenario
+    {
+        std::size_t instances;
+        unsigned max_connections;
+        std::size_t homes;
+    };
+    for (const auto& each :
+         {scenario{9, 31, 3}, scenario{7, 26, 3}, scenario{69, 66, 1},
+          scenario{61, 62, 1}, scenario{40, 66, 2}, scenario{4900, 66, 1}})
+    {
+        CAPTURE(each.instances);
+        const home_upstreams homes(make_group(),
+                                   {.instance = "10.0.0.1:80",
+                                    .failure_domain = "a",
+                                    .instances = each.instances,
+                                    .max_connections = each.max_connections});
+        CHECK(homes.size() == each.homes);
+        CHECK(homes.contains("i-1"));
+    }
+    CHECK(home_upstreams({}, {.instance = "10.0.0.1:80"}).size() == 0);
+}
+
+// Guards against instances without an upstream in their failure domain that
+// all choose the same one, and against choices that change without a reason.
+TEST_CASE("instances without an upstream nearby spread over all")
+{
+    std::map<std::string, unsigned> chosen;
+    const auto group = make_group();
+    constexpr unsigned instances = 300;
+    for (unsigned number = 0; number < instances; ++number)
+    {
+        const home_upstreams::options values{.instance = "10.0.0." +
+                                                         std::to_string(number),
+                                             .failure_domain = "d",
+                                             .instances = instances,
+                                             .max_connections = 100};
+        const home_upstreams homes(group, values);
+        for (const auto& each : group)
+            if (homes.contains(each->spec.id))
+            {
+                ++chosen[each->spec.id];
+                CHECK(home_upstreams(group, values).contains(each->spec.id));
+            }
+    }
+    for (const auto& each : group)
+    {
+        CAPTURE(each->spec.id);
+        // An even spread gives each 100.
+        CHECK(chosen[each->spec.id] > 70);
+        CHECK(chosen[each->spec.id] < 130);
+    }
+}
+
+// Guards against a home that will be gone in a moment.
+TEST_CASE("an upstream that leaves is home only where no other is left")
+{
+    auto leaving = std::make_shared<registered_upstream>();
+    leaving->spec = {.id = "i-1", .service = "s", .failure_domain = "a"};
+    leaving->leaving_since = time_point{};
+    const home_upstreams::options values{.instance = "x",
+                                         .failure_domain = "a",
+                                         .instances = 69,
+                                         .max_connections = 66};
+    CHECK(home_upstreams({leaving}, values).contains("i-1"));
+    CHECK(home_upstreams({leaving, make_upstream("i-2", "b")}, values)
+              .contains("i-2"));
+}
