net, gateway: Bound the time of headers; metrics of budgets and ejections

A caller had the idle timeout for its headers, so that a byte now and then held a connection for ever; the operator's header timeout now counts from the first byte.

It now counts from the first byte, and a stop waits 100 ms after closing idle connections, which another thread does. A test of the count fails without it.

Metrics: repeats that the budget denied, tokens left by service, ejected upstreams, attempts under way.

--- a/Libraries/core/process/hedge_budget.cpp
+++ b/Libraries/core/process/hedge_budget.cpp
@@ -41,6 +41,11 @@
     }
 }
 
+unsigned hedge_budget::tokens() const
+{
+    return static_cast<unsigned>(this->millitokens / millitokens_per_token);
+}
+
 bool hedge_budget::spend()
 {
     std::int64_t held = this->millitokens;
--- a/Libraries/core/process/hedge_budget.hpp
+++ b/Libraries/core/process/hedge_budget.hpp
@@ -26,6 +26,8 @@
     void earn(double percent);
     // Spends one token; returns false when less than one is left.
     bool spend();
+    // Whole tokens that are left.
+    unsigned tokens() const;
 
 private:
     std::atomic<std::int64_t> most{std::int64_t{max_tokens} * 1000};
--- a/Libraries/core/process/repeat_budgets.cpp
+++ b/Libraries/core/process/repeat_budgets.cpp
@@ -32,6 +32,12 @@
     return this->budget(service).spend();
 }
 
+const std::map<std::string, hedge_budget, std::less<>>&
+repeat_budgets::by_service() const
+{
+    return this->budgets;
+}
+
 hedge_budget& repeat_budgets::budget(std::string_view service)
 {
     const auto found = this->budgets.find(service);
--- a/Libraries/core/process/repeat_budgets.hpp
+++ b/Libraries/core/process/repeat_budgets.hpp
@@ -33,6 +33,8 @@
     void earn(std::string_view service);
     // Pays for one repeat; returns false when the budget is spent.
     bool spend(std::string_view service);
+    // The budgets of the services to which there were requests.
+    const std::map<std::string, hedge_budget, std::less<>>& by_service() const;
 
 private:
     hedge_budget& budget(std::string_view service);
--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -59,6 +59,8 @@
 {
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
+    // From the first byte of a request to the end of its headers.
+    std::chrono::milliseconds header_timeout{60000};
     std::chrono::milliseconds idle_timeout{60000};
 };
 
@@ -112,7 +114,7 @@
     // Closes the listening socket and idle connections. Running requests go
     // on.
     void stop_accepting();
-    // Requests whose headers were read and whose reply is not yet written.
+    // Requests whose first byte was read and whose reply is not yet written.
     std::size_t running_requests() const;
     http_connection_counts connections() const;
 
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t max_discarded_bytes = std::size_t{4} * 1024 * 1024;
 constexpr std::chrono::seconds max_discard_time{2};
 constexpr std::size_t discard_buffer_bytes = 16384;
+// Most that is read while the headers of a request are awaited.
+constexpr std::size_t first_read_bytes = 2048;
 
 // Counts a request as running until its reply is written, whatever ends it.
 class running_request
@@ -77,13 +79,11 @@
     const auto bounds = this->limits();
     message.header_limit(static_cast<std::uint32_t>(bounds.max_header_bytes));
     message.body_limit(bounds.max_body_bytes);
-    this->stream.expires_after(bounds.idle_timeout);
-    this->is_idle = true;
-    error_code failure;
-    co_await http::async_read_header(this->stream, this->buffer, message,
-                                     store_error(failure));
-    this->is_idle = false;
+    auto failure = co_await this->wait_for_request();
+    // From its first byte on, so that a stop waits for the whole of it.
     const running_request running(this->context->running_requests);
+    if (!failure)
+        failure = co_await this->read_headers(message);
     if (!failure)
         failure = co_await this->read_body(message);
     if (failure)
@@ -121,9 +121,35 @@
         return values.limits();
     return {.max_header_bytes = http_limits{}.max_header_bytes,
             .max_body_bytes = values.max_body_bytes,
+            .header_timeout = values.idle_timeout,
             .idle_timeout = values.idle_timeout};
 }
 
+asio::awaitable<error_code> http_session::wait_for_request()
+{
+    error_code failure;
+    if (this->buffer.size() > 0)
+        co_return failure;
+    this->is_idle = true;
+    this->stream.expires_after(this->limits().idle_timeout);
+    const auto space = this->buffer.prepare(first_read_bytes);
+    const auto bytes =
+        co_await this->stream.async_read_some(space, store_error(failure));
+    this->buffer.commit(bytes);
+    this->is_idle = false;
+    co_return failure;
+}
+
+asio::awaitable<error_code> http_session::read_headers(parser& message)
+{
+    error_code failure;
+    // A peer that sends a byte now and then must not hold a connection.
+    this->stream.expires_after(this->limits().header_timeout);
+    co_await http::async_read_header(this->stream, this->buffer, message,
+                                     store_error(failure));
+    co_return failure;
+}
+
 asio::awaitable<error_code> http_session::read_body(parser& message)
 {
     error_code failure;
--- a/Libraries/net/http_session.hpp
+++ b/Libraries/net/http_session.hpp
@@ -50,6 +50,9 @@
     // must be closed.
     asio::awaitable<bool> serve_request();
     http_limits limits() const;
+    // Waits for the first bytes of a request.
+    asio::awaitable<error_code> wait_for_request();
+    asio::awaitable<error_code> read_headers(parser& message);
     // Reads the body that follows the headers in `message`.
     asio::awaitable<error_code> read_body(parser& message);
     // Answers a request that can't be read, where HTTP still allows.
--- a/Libraries/telemetry/forwarding_metrics.cpp
+++ b/Libraries/telemetry/forwarding_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "telemetry/metric_families.hpp"
 
+#include <prometheus/gauge.h>
 #include <prometheus/text_serializer.h>
 #include <set>
 #include <string>
@@ -59,6 +60,15 @@
                            "wisteriahatch_repeats_total",
                            "Sends beyond the first of a leg.",
                            {.first = "route"}};
+    counter_family denied_repeats{registry,
+                                  "wisteriahatch_repeats_denied_total",
+                                  "Sends that the budget did not allow.",
+                                  {.first = "route"}};
+    prometheus::Family<prometheus::Gauge>& repeat_tokens =
+        prometheus::BuildGauge()
+            .Name("wisteriahatch_repeat_tokens")
+            .Help("Repeats that this instance may send at once.")
+            .Register(registry);
     prometheus::Gauge& version =
         make_gauge(registry, "wisteriahatch_routes_version",
                    "Version of the routes in force; 0 for none.");
@@ -67,6 +77,12 @@
                    "Time since the configuration source was last heard.");
     prometheus::Gauge& upstreams =
         make_gauge(registry, "wisteriahatch_upstreams", "Known upstreams.");
+    prometheus::Gauge& ejected =
+        make_gauge(registry, "wisteriahatch_upstreams_ejected",
+                   "Upstreams that are ejected after failures.");
+    prometheus::Gauge& running_attempts =
+        make_gauge(registry, "wisteriahatch_running_attempts",
+                   "Attempts that wait for a connection or an answer.");
     prometheus::Gauge& members =
         make_gauge(registry, "wisteriahatch_members_alive",
                    "Members seen alive, this instance included.");
@@ -113,6 +129,21 @@
         this->state->repeats.add(count, this->state->routes.limit(route));
 }
 
+void forwarding_metrics::count_denied_repeats(std::string_view route,
+                                              double count)
+{
+    if (count > 0)
+        this->state->denied_repeats.add(count,
+                                        this->state->routes.limit(route));
+}
+
+void forwarding_metrics::set_repeat_tokens(std::string_view service,
+                                           double tokens)
+{
+    const std::string label(this->state->services.limit(service));
+    this->state->repeat_tokens.Add({{"service", label}}).Set(tokens);
+}
+
 void forwarding_metrics::set_routes_version(double version)
 {
     this->state->version.Set(version);
@@ -128,6 +159,16 @@
     this->state->upstreams.Set(count);
 }
 
+void forwarding_metrics::set_ejected_upstreams(double count)
+{
+    this->state->ejected.Set(count);
+}
+
+void forwarding_metrics::set_running_attempts(double count)
+{
+    this->state->running_attempts.Set(count);
+}
+
 void forwarding_metrics::set_members(double alive)
 {
     this->state->members.Set(alive);
--- a/Libraries/telemetry/forwarding_metrics.hpp
+++ b/Libraries/telemetry/forwarding_metrics.hpp
@@ -31,10 +31,17 @@
     void count_attempt(std::string_view service, std::string_view end);
     // Sends beyond the first of a leg, by route.
     void count_repeats(std::string_view route, double count);
+    // Sends that the budget of repeats did not allow, by route.
+    void count_denied_repeats(std::string_view route, double count);
+    // Repeats that this instance may send at once, by service.
+    void set_repeat_tokens(std::string_view service, double tokens);
     // Current values.
     void set_routes_version(double version);
     void set_source_age(duration age);
     void set_upstreams(double count);
+    void set_ejected_upstreams(double count);
+    // Attempts that wait for a connection or an answer.
+    void set_running_attempts(double count);
     void set_members(double alive);
     void set_running_requests(double count);
     void set_ready(bool value);
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -22,6 +22,9 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds drain_poll{20};
+// From the order to close idle connections until it was carried out and what
+// had arrived before it has been read.
+constexpr std::chrono::milliseconds close_settle_time{100};
 // Part of the grace in which callers' balancer notices that this instance is
 // not ready: it asks each second and believes the second answer.
 constexpr double listening_share = 0.5;
@@ -203,6 +206,7 @@
     asio::post(this->workers.at(0), [this] { this->peers.set_leaving(); });
     std::this_thread::sleep_for(grace * listening_share);
     this->caller_server.stop_accepting();
+    std::this_thread::sleep_for(close_settle_time);
     const auto last = started + grace - grace_margin;
     while (this->caller_server.running_requests() > 0 &&
            std::chrono::steady_clock::now() < last)
@@ -223,24 +227,41 @@
 }
 
 asio::awaitable<http_reply> gateway_process::answer_metrics(http_request)
+{
+    this->refresh_gauges();
+    http_reply reply;
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = this->measures.text();
+    co_return reply;
+}
+
+void gateway_process::refresh_gauges()
 {
     const auto now = std::chrono::steady_clock::now();
+    const auto& routes = this->state.routes;
     this->measures.set_routes_version(
-        this->state.routes ? static_cast<double>(this->state.routes->version())
-                           : 0);
+        routes ? static_cast<double>(routes->version()) : 0);
     this->measures.set_source_age(now - this->state.source_heard);
-    this->measures.set_upstreams(
-        static_cast<double>(this->state.upstreams.all().size()));
     this->measures.set_members(static_cast<double>(this->peers.live_members()));
     this->measures.set_running_requests(
         static_cast<double>(this->caller_server.running_requests()));
     this->measures.set_ready(this->is_ready());
     this->measures.set_dropped_log_lines(
         static_cast<double>(dropped_log_lines()));
-    http_reply reply;
-    reply.content_type = "text/plain; version=0.0.4";
-    reply.body = this->measures.text();
-    co_return reply;
+
+    const auto& upstreams = this->state.upstreams.all();
+    unsigned ejected = 0;
+    unsigned running = 0;
+    for (const auto& [id, entry] : upstreams)
+    {
+        ejected += entry->state->is_ejected(now) ? 1 : 0;
+        running += entry->state->in_flight();
+    }
+    this->measures.set_upstreams(static_cast<double>(upstreams.size()));
+    this->measures.set_ejected_upstreams(ejected);
+    this->measures.set_running_attempts(running);
+    for (const auto& [service, budget] : this->state.budgets.by_service())
+        this->measures.set_repeat_tokens(service, budget.tokens());
 }
 
 void gateway_process::watch_settings()
@@ -325,6 +346,7 @@
         this->state.routes ? this->state.routes->callers() : caller_limits{};
     return {.max_header_bytes = limits.max_header_bytes,
             .max_body_bytes = limits.max_body_bytes,
+            .header_timeout = limits.header_timeout,
             .idle_timeout = limits.idle_timeout + idle_slack};
 }
 
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -46,6 +46,8 @@
     boost::asio::awaitable<http_reply> answer_peer(http_request request);
     http_limits read_limits() const;
     boost::asio::awaitable<http_reply> answer_metrics(http_request request);
+    // Sets the metrics that are read from the state.
+    void refresh_gauges();
     bool is_ready() const;
     void watch_settings();
     // Adopts what may change while the process runs.
--- a/Programs/gateway/request_log.cpp
+++ b/Programs/gateway/request_log.cpp
@@ -61,6 +61,7 @@
     const auto answers = count_answers(outcome.legs);
     this->measures->observe_request(route.name, status, elapsed);
     this->measures->count_repeats(route.name, outcome.repeats);
+    this->measures->count_denied_repeats(route.name, outcome.denied_repeats);
     if (route.is_scattered() && outcome.result == fan_out_result::answered)
         this->measures->observe_coverage(
             route.name, static_cast<double>(answers) /
--- a/Tests/core/process/repeat_budgets.cpp
+++ b/Tests/core/process/repeat_budgets.cpp
@@ -61,3 +61,21 @@
     CHECK(budgets.spend("a"));
     CHECK_FALSE(budgets.spend("b"));
 }
+
+// Guards against a metric of the budget that is not what spend() allows.
+TEST_CASE("the tokens left are the repeats that may be sent")
+{
+    repeat_budgets budgets({.ratio = 0.5, .reserve = 2});
+    CHECK(budgets.by_service().empty());
+    budgets.earn("s");
+    for (unsigned left = 2; left > 0; --left)
+    {
+        CHECK(budgets.by_service().at("s").tokens() == left);
+        CHECK(budgets.spend("s"));
+    }
+    CHECK(budgets.by_service().at("s").tokens() == 0);
+    CHECK_FALSE(budgets.spend("s"));
+    // Half a token is none.
+    budgets.earn("s");
+    CHECK(budgets.by_service().at("s").tokens() == 0);
+}
--- a/Tests/net/http_server.cpp
+++ b/Tests/net/http_server.cpp
@@ -237,3 +237,50 @@
     CHECK(wait_until([&] { return this->server.connections().open == 0; }));
     CHECK(this->echo() == "/echo ");
 }
+
+// Guards against a stop that ends between the first byte of a request and its
+// end. Found on dialcraft-amman, day trouble-2: a request was cut that had been
+// passed on in the moment in which the process found no request running.
+TEST_CASE_FIXTURE(server_fixture, "a request runs from its first byte on")
+{
+    raw_client client(this->server.endpoint());
+    client.send("GET /1 HT");
+    CHECK(wait_until([&] { return this->server.running_requests() == 1; }));
+    client.send("TP/1.1\r\n\r\n");
+    CHECK(client.read().body() == "/1 ");
+    CHECK(wait_until([&] { return this->server.running_requests() == 0; }));
+}
+
+// Guards against connections that are held for ever by peers which begin a
+// request and send the rest a byte now and then, or not at all.
+TEST_CASE("a request whose headers take too long costs its connection")
+{
+    worker_pool workers(1);
+    http_server server(workers,
+                       {.listen = any_loopback_port(),
+                        .limits =
+                            [] {
+                                return http_limits{
+                                    .header_timeout =
+                                        std::chrono::milliseconds(30)};
+                            }},
+                       [](http_request) -> asio::awaitable<http_reply>
+                       { co_return http_reply{}; });
+    REQUIRE(server.start());
+    workers.start();
+    raw_client idle(server.endpoint());
+    raw_client silent(server.endpoint());
+    silent.send("GET / HTTP/1.1\r\nA: ");
+    raw_client slow(server.endpoint());
+    // The idle connection stays; its timeout is a minute.
+    CHECK(wait_until(
+        [&]
+        {
+            slow.send("G");
+            return server.connections().accepted == 3 &&
+                   server.connections().open == 1;
+        }));
+    idle.get("/");
+    CHECK(idle.read().result_int() == 200);
+    workers.stop();
+}
--- a/Tests/telemetry/forwarding_metrics.cpp
+++ b/Tests/telemetry/forwarding_metrics.cpp
@@ -17,6 +17,10 @@
     measures.observe_coverage("r0", 0.9);
     measures.count_attempt("s", "refused");
     measures.count_repeats("r0", 2);
+    measures.count_denied_repeats("r0", 3);
+    measures.set_repeat_tokens("s", 6);
+    measures.set_ejected_upstreams(1);
+    measures.set_running_attempts(8);
     measures.set_routes_version(7);
     measures.set_source_age(1500ms);
     measures.set_upstreams(3);
@@ -33,6 +37,10 @@
           "wisteriahatch_request_coverage_ratio_sum{route=\"r0\"} 0.9",
           "wisteriahatch_attempts_total{end=\"refused\",service=\"s\"} 1\n",
           "wisteriahatch_repeats_total{route=\"r0\"} 2\n",
+          "wisteriahatch_repeats_denied_total{route=\"r0\"} 3\n",
+          "wisteriahatch_repeat_tokens{service=\"s\"} 6\n",
+          "wisteriahatch_upstreams_ejected 1\n",
+          "wisteriahatch_running_attempts 8\n",
           "wisteriahatch_routes_version 7\n",
           "wisteriahatch_source_age_seconds 1.5\n",
           "wisteriahatch_upstreams 3\n", "wisteriahatch_members_alive 9\n",
