Meta: Choose a free loopback net, and show both interfaces in the demo

Two checkouts on one machine could not run their process tests or the demo at once: their addresses were the same. A net is now taken by a lock that the shell and its processes hold.

It also shows the gateway on the platform's stand-ins.

--- a/Meta/check_tutorials.sh
+++ b/Meta/check_tutorials.sh
@@ -5,7 +5,9 @@
 # Usage: check_tutorials.sh [PAGE...]
 set -uo pipefail
 cd "$(dirname "$0")/.."
-export WISTERIAHATCH_NET="${WISTERIAHATCH_NET:-127.30}"
+. Meta/loopback_net.sh
+[ -n "${WISTERIAHATCH_NET:-}" ] || choose_loopback_net || exit 1
+export WISTERIAHATCH_NET="${WISTERIAHATCH_NET:-$loopback_net}"
 [ "$#" -gt 0 ] || set -- docs/tutorial-*.md
 exec 4>&1
 
@@ -32,7 +34,7 @@
             mode=""
             ;;
         'text:```')
-            # The page shows the addresses that Meta/fleet.sh uses by default.
+            # The pages show addresses below 127.0.
             sed -i "s/${WISTERIAHATCH_NET//./\\.}\./127.0./g" "$output"
             fault="the output differs from the text above"
             [ "$(<"$output")" = "${block%$'\n'}" ] || exit 1
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Installs packages, builds, starts the stand-ins and three entry instances on
 # loopback, sends queries and a non-idempotent request, takes upstreams away,
-# stops an entry gracefully under load, and stops everything it started.
+# stops an entry gracefully under load, shows the gateway's interface on the
+# platform's stand-ins, and stops everything it started.
 # The last line of the output is a JSON object with the counts.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -11,6 +12,7 @@
 fleet_upstream_flags=(--latency_ms=3)
 fleet_entry_lines=()
 . Meta/fleet.sh
+. Tests/process/gateway.sh
 trap 'fleet_stop' EXIT
 
 queries=0
@@ -81,8 +83,32 @@
 done <"$fleet_work/services" | jq -s '[.[][].runs[]? | select(. > 1)] | length')
 cut_requests=$(tail -1 "$fleet_work/load.json" | jq '[.classes[].cut] | add')
 load_queries=$(tail -1 "$fleet_work/load.json" | jq '[.classes[].requests] | add')
+load_complete=$(tail -1 "$fleet_work/load.json" |
+    jq '[.classes[] | .answers * .complete_ratio | round] | add')
+load_answers=$(tail -1 "$fleet_work/load.json" | jq '[.classes[].answers] | add')
+complete=$((complete + load_complete))
+partial=$((partial + load_answers - load_complete))
+fleet_stop
+rm -rf "$fleet_work"
+
+echo "== two gateways on the platform's stand-ins: a scattered request over 3 services"
+gateway_fleet || exit 1
+gateway_show() {
+    curl -s --max-time 5 -D - -o /dev/null -H 'Host: h' -H "Request-Id: demo-$1" \
+        -H 'Deadline-Ms: 3000' "http://$fleet_net.5.$1:8080/q/x" |
+        tr -d '\r' | grep -E '^(HTTP|Part-Seals|Missing-Parts)'
+}
+gateway_show 1
+echo "== the server of one shard leaves: the answer says that a part is missing"
+curl -sf -o /dev/null -X POST "http://$gateway_store/remove?key=servers/i-5"
+sleep 4
+gateway_show 2
+echo "== what the gateways did with it"
+"$fleet_bin/wisteriahatch-ctl" explain-request demo-2 "$fleet_work"/gateway-*.log | tail -1
+
 echo "== stopping"
 fleet_stop
+rm -rf "$fleet_work"
 jq -cn --argjson queries "$((queries + load_queries))" --argjson complete "$complete" \
     --argjson partial "$partial" --argjson double_runs "$double_runs" \
     --argjson cut_requests "$cut_requests" --argjson entry_status "$entry_status" \
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -2,12 +2,14 @@
 # and stop exactly the processes they started. Sourced by demo.sh and the
 # measurement scripts. Needs the folder of the programs in $fleet_bin.
 #
-# Addresses below 127.0 (or WISTERIAHATCH_NET, so that two fleets can run side
-# by side): upstreams .1.1 from port 20000, counters and control of a service's
+# Addresses below a free net 127.N (or WISTERIAHATCH_NET), so that two fleets can
+# run side by side: upstreams .1.1 from port 20000, counters and control of a service's
 # upstreams .1.1 from port 19000, platform .3.1:9000, entry instance N .2.N ports
 # 8080 (callers), 8081 (admin), 8082 (peers).
 
-fleet_net="${WISTERIAHATCH_NET:-127.0}"
+. "${BASH_SOURCE%/*}/loopback_net.sh"
+[ -n "${WISTERIAHATCH_NET:-}" ] || choose_loopback_net || exit 1
+fleet_net="${WISTERIAHATCH_NET:-$loopback_net}"
 
 declare -A fleet_pids=()
 fleet_work=""
