--- a/Programs/ctl/commands/command.cpp
+++ b/Programs/ctl/commands/command.cpp
@@ -45,6 +45,14 @@
         .most_arguments = 3,
         .run = run_explain,
     },
+    command{
+        .name = "explain-request",
+        .arguments = "ID LOG...",
+        .purpose = "print a request's story from instances' logs",
+        .least_arguments = 2,
+        .most_arguments = std::numeric_limits<std::size_t>::max(),
+        .run = run_explain_request,
+    },
     command{
         .name = "status",
         .arguments = "ADMIN_ADDRESS...",
--- a/Programs/ctl/commands/command.hpp
+++ b/Programs/ctl/commands/command.hpp
@@ -68,6 +68,9 @@
 // connections, deadline and hedging.
 exit_code run_explain(const command_context& context);
 
+// Prints what the logs of instances say about one request, in order of time.
+exit_code run_explain_request(const command_context& context);
+
 // Asks instances for their status, one after the other, and prints whether
 // they agree on the document.
 exit_code run_status(const command_context& context);
