--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/gateway_fixture.hpp"
 
+#include <algorithm>
+
 using namespace wisteriahatch;
 using namespace std::chrono_literals;
 
@@ -89,3 +91,33 @@
     this->put_config(1, 0);
     this->wait_for(1, 1);
 }
+
+// Guards against instances that keep more connections than the upstreams of a
+// service accept: the route's service accepts 800 on each.
+TEST_CASE_FIXTURE(gateway_fixture, "homes follow the number of instances")
+{
+    struct scenario
+    {
+        std::size_t instances, homes;
+    };
+    for (const char* id : {"i-1", "i-2", "i-3"})
+        this->add_server("plain", id);
+    this->put_config(1, 0);
+    this->wait_for(3, 1);
+    for (const auto& each :
+         {scenario{9, 3}, scenario{600, 2}, scenario{2000, 1}, scenario{9, 3}})
+    {
+        CAPTURE(each.instances);
+        const auto homes = this->on_worker(
+            [&]
+            {
+                this->watcher->set_instances(each.instances);
+                return std::ranges::count_if(
+                    this->state.upstreams.group("plain"),
+                    [](const registered_upstream_ptr& upstream)
+                    { return upstream->state->is_home(); });
+            });
+        CHECK(static_cast<std::size_t>(homes) == each.homes);
+    }
+    CHECK(this->ask("GET", "/p/x").result_int() == 200);
+}
--- a/Tests/net/upstream_pool.cpp
+++ b/Tests/net/upstream_pool.cpp
@@ -218,6 +218,24 @@
     CHECK(this->upstream.connections().accepted == 2);
 }
 
+// Guards against connections that are kept to an upstream which has too few.
+TEST_CASE_FIXTURE(pool_fixture, "an upstream may have its own idle timeout")
+{
+    this->create_pool({.idle_timeout = 60s}, 1);
+    CHECK(this->run(make_call("/any")));
+    std::this_thread::sleep_for(1100ms);
+    CHECK(this->upstream.connections().open == 1);
+    this->pool->set_upstreams({{"u",
+                                {.endpoint = this->path->listen(),
+                                 .state = this->state,
+                                 .idle_timeout = 100ms}}});
+    // The connection has been idle for longer than that.
+    CHECK(wait_until([&] { return this->upstream.connections().open == 0; }));
+    CHECK(this->run(make_call("/any")));
+    CHECK(this->upstream.connections().accepted == 2);
+    CHECK(wait_until([&] { return this->upstream.connections().open == 0; }));
+}
+
 // Guards against answers for callers that have gone, and against upstreams
 // that go on working for them.
 TEST_CASE_FIXTURE(pool_fixture, "a cancelled call never calls its handler")
