net, gateway: Share one request among its attempts

Cause, found on reading the change again: each attempt of a scattered request copied the method, the target, the headers and the body (up to the operator's limit of 256 KB, 54 times for one request), the body once more into the message that is serialised, and the names of all services four times.

Attempts now share one upstream_request, the message refers to its body, and the legs' outcomes carry the services' names. What is logged of an attempt is copied only when it is logged.

No behaviour changes; the tests pass unchanged but for the fixture that builds a call.

--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -53,8 +53,8 @@
 fan_out::fan_out(options values)
     : chosen(std::move(values))
 {
-    for (const auto& service : this->chosen.services)
-        this->legs.push_back({.service = service});
+    for (auto& service : this->chosen.services)
+        this->legs.push_back({.service = std::move(service)});
 }
 
 std::vector<fan_out::action> fan_out::start(time_point now)
@@ -283,7 +283,8 @@
     finish last{.result = result};
     for (auto& each : this->legs)
     {
-        last.legs.push_back({.answer = each.answer,
+        last.legs.push_back({.service = std::move(each.service),
+                             .answer = each.answer,
                              .sends = each.sends,
                              .last_failure = each.last_failure,
                              .running = each.running.size()});
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -101,6 +101,7 @@
     // How far a leg came.
     struct leg_outcome
     {
+        std::string service;
         std::optional<attempt_id> answer;
         unsigned sends = 0;
         // How the last attempt without an answer ended; empty while none has.
--- a/Libraries/net/forwarding_dialect.cpp
+++ b/Libraries/net/forwarding_dialect.cpp
@@ -72,7 +72,7 @@
                     const upstream_reply& reply) const override
     {
         const auto echo = find_header(reply.headers, this->names.request_id);
-        return !echo || *echo == call.request_id;
+        return !echo || *echo == call.request->request_id;
     }
 
     bool is_refusal(const upstream_reply& reply) const override
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -22,7 +22,7 @@
 
 bool is_work(const upstream_call& call)
 {
-    return !call.body.empty() || !call.method.empty();
+    return !call.request->body.empty() || !call.request->method.empty();
 }
 
 // Says how an exchange bears on the adaptive limit.
--- a/Libraries/net/upstream_connection.cpp
+++ b/Libraries/net/upstream_connection.cpp
@@ -22,9 +22,10 @@
 
 // Returns the bytes of a request as one buffer: Beast's own write walks the
 // parts of the header several times for each send.
-std::string serialize(http::request<http::string_body>& request)
+template <class Body>
+std::string serialize(const http::request<Body>& request)
 {
-    http::request_serializer<http::string_body> serializer(request);
+    http::request_serializer<Body> serializer(request);
     std::string text;
     error_code failure;
     while (!failure && !serializer.is_done())
@@ -87,7 +88,7 @@
     const auto started = std::chrono::steady_clock::now();
     this->is_usable = false;
     this->waiting_since = started;
-    auto request = this->make_request(call, dialect, started);
+    const auto request = this->make_request(call, dialect, started);
     const auto text = serialize(request);
 
     error_code failure;
@@ -134,20 +135,22 @@
     co_return upstream_exchange{std::move(reply), std::move(report), false};
 }
 
-http::request<http::string_body>
+upstream_connection::http_request_view
 upstream_connection::make_request(const upstream_call& call,
                                   const upstream_dialect& dialect,
                                   time_point now) const
 {
-    http::request<http::string_body> request;
+    const auto& wanted = *call.request;
+    http_request_view request;
     request.version(http_version);
-    if (!call.method.empty())
-        request.method_string(call.method);
+    if (!wanted.method.empty())
+        request.method_string(wanted.method);
     else
-        request.method(call.body.empty() ? http::verb::get : http::verb::post);
-    request.target(call.target);
+        request.method(wanted.body.empty() ? http::verb::get
+                                           : http::verb::post);
+    request.target(wanted.target);
     request.set(http::field::host, this->endpoint.address().to_string());
-    for (const auto& header : call.headers)
+    for (const auto& header : wanted.headers)
     {
         if (is_same_header(header.name, "host"))
             request.set(http::field::host, header.value);
@@ -156,7 +159,7 @@
     }
     for (const auto& header : dialect.send_headers(call, call.deadline - now))
         request.set(header.name, header.value);
-    request.body() = call.body;
+    request.body() = {wanted.body.data(), wanted.body.size()};
     request.prepare_payload();
     return request;
 }
--- a/Libraries/net/upstream_connection.hpp
+++ b/Libraries/net/upstream_connection.hpp
@@ -52,9 +52,12 @@
     time_point last_heard() const;
 
 private:
-    http::request<http::string_body>
-    make_request(const upstream_call& call, const upstream_dialect& dialect,
-                 time_point now) const;
+    // Refers to the body of a call.
+    using http_request_view = http::request<http::span_body<const char>>;
+
+    http_request_view make_request(const upstream_call& call,
+                                   const upstream_dialect& dialect,
+                                   time_point now) const;
     upstream_exchange make_failure(const error_code& failure) const;
     // The end of an exchange whose reply answers another request.
     upstream_exchange make_mismatch() const;
--- a/Libraries/net/upstream_dialect.cpp
+++ b/Libraries/net/upstream_dialect.cpp
@@ -80,7 +80,7 @@
     message_headers send_headers(const upstream_call& call,
                                  duration) const override
     {
-        if (call.body.empty())
+        if (call.request->body.empty())
             return {};
         return {{"Content-Type", "application/json"}};
     }
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -28,13 +28,11 @@
     unused,
 };
 
-// One request to one upstream. Work is not sent to an upstream that is
-// draining: it ends with upstream_shed.
-struct upstream_call
+// What is sent to an upstream. One request may go to many upstreams.
+struct upstream_request
 {
-    std::string replica;
-    // Empty for POST, or GET when the body is empty. A call with a body or a
-    // method of its own is work; any other is a status probe.
+    // Empty for POST, or GET when the body is empty. A request with a body or
+    // a method of its own is work; any other is a status probe.
     std::string method;
     std::string target;
     // Sent as they are; a Host among them replaces the upstream's address.
@@ -42,6 +40,15 @@
     // Compared with the reply where the dialect's replies name their request.
     std::string request_id;
     std::string body;
+};
+
+// One request to one upstream. Work is not sent to an upstream that is
+// draining: it ends with upstream_shed.
+struct upstream_call
+{
+    std::string replica;
+    // Never null.
+    std::shared_ptr<const upstream_request> request;
     time_point deadline;
     unsigned priority = 0;
     connection_use use = connection_use::any;
--- a/Programs/entry/query_session.cpp
+++ b/Programs/entry/query_session.cpp
@@ -66,11 +66,13 @@
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(action.deadline -
                                                               clock_now());
+    upstream_request request;
+    request.target = "/search";
+    request.body = encode_search(action, this->service_name,
+                                 this->chosen.query_text, remaining);
     upstream_call call;
     call.replica = action.replica;
-    call.target = "/search";
-    call.body = encode_search(action, this->service_name,
-                              this->chosen.query_text, remaining);
+    call.request = std::make_shared<upstream_request>(std::move(request));
     call.deadline = action.deadline;
     call.first_byte_timeout = action.first_byte_timeout;
     if (action.needs_new_connection)
--- a/Programs/entry/run_service.cpp
+++ b/Programs/entry/run_service.cpp
@@ -269,11 +269,13 @@
 upstream_call run_service::make_call(const dispatch_run& action,
                                      const std::string& replica)
 {
+    upstream_request request;
+    request.target = "/run";
+    request.body = encode_upstream_run(to_string(action.id), action,
+                                       remaining_until(action.deadline));
     upstream_call call;
     call.replica = replica;
-    call.target = "/run";
-    call.body = encode_upstream_run(to_string(action.id), action,
-                                    remaining_until(action.deadline));
+    call.request = std::make_shared<upstream_request>(std::move(request));
     call.deadline = action.deadline;
     call.use = connection_use::fresh;
     call.before_send = [this, id = action.id, attempt = action.attempt]
--- a/Programs/entry/status_prober.cpp
+++ b/Programs/entry/status_prober.cpp
@@ -53,9 +53,11 @@
 
 void status_prober::probe(const std::string& replica)
 {
+    upstream_request request;
+    request.target = "/status";
     upstream_call call;
     call.replica = replica;
-    call.target = "/status";
+    call.request = std::make_shared<upstream_request>(std::move(request));
     call.deadline = std::chrono::steady_clock::now() + step;
     call.priority = lowest_priority;
     // The pool stores what the reply says of the replica.
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -107,7 +107,6 @@
 {
     const auto& route = *accepted.route;
     auto plan = this->make_plan(accepted);
-    accepted.services = plan.services;
     const auto session = std::make_shared<request_session>(
         request_session::options{.worker = this->chosen.worker,
                                  .upstreams = this->chosen.upstreams,
--- a/Programs/gateway/request_log.cpp
+++ b/Programs/gateway/request_log.cpp
@@ -19,18 +19,16 @@
 
 // Returns the services without an answer, each with its sends, how the last
 // one failed and how many still ran: "quotes:2:refused:1".
-std::string describe_lacked(const std::vector<std::string>& services,
-                            const std::vector<fan_out::leg_outcome>& legs)
+std::string describe_lacked(const std::vector<fan_out::leg_outcome>& legs)
 {
     std::string text;
-    for (std::size_t index = 0; index < legs.size(); ++index)
+    for (const auto& leg : legs)
     {
-        const auto& leg = legs[index];
         if (leg.answer)
             continue;
         if (!text.empty())
             text += ',';
-        text += services[index] + ":" + std::to_string(leg.sends) + ":";
+        text += leg.service + ":" + std::to_string(leg.sends) + ":";
         text += leg.last_failure ? to_string(*leg.last_failure) : "none";
         text += ":" + std::to_string(leg.running);
     }
@@ -80,7 +78,7 @@
                {"result", std::string(to_string(outcome.result))},
                {"status", std::to_string(status)},
                {"legs", std::to_string(outcome.legs.size())},
-               {"lacked", describe_lacked(accepted.services, outcome.legs)},
+               {"lacked", describe_lacked(outcome.legs)},
                {"upstreams", outcome.upstreams},
                {"sends", std::to_string(outcome.sends)},
                {"repeats", std::to_string(outcome.repeats)},
@@ -103,11 +101,11 @@
     if (!left_out)
         return;
     log_event(log_level::warning, "attempt_ended",
-              {{"id", attempt.request_id},
-               {"service", attempt.service},
-               {"upstream", attempt.upstream},
+              {{"id", std::string(attempt.request_id)},
+               {"service", std::string(attempt.service)},
+               {"upstream", std::string(attempt.upstream)},
                {"end", std::string(to_string(attempt.end))},
-               {"reason", attempt.reason},
+               {"reason", std::string(attempt.reason)},
                {"elapsed_ms", to_text(attempt.elapsed)},
                {"left_out", std::to_string(*left_out)}});
 }
--- a/Programs/gateway/request_log.hpp
+++ b/Programs/gateway/request_log.hpp
@@ -9,7 +9,7 @@
 #include "telemetry/forwarding_metrics.hpp"
 
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace wisteriahatch
 {
@@ -20,8 +20,6 @@
     std::string id;
     route_table_ptr routes;
     const route_spec* route = nullptr;
-    // The services of its legs.
-    std::vector<std::string> services;
     time_point received;
     // Of the caller's connection.
     duration round_trip{0};
@@ -32,12 +30,12 @@
 // One attempt at an upstream that has ended.
 struct ended_attempt
 {
-    std::string request_id;
-    std::string service;
-    std::string upstream;
+    std::string_view request_id;
+    std::string_view service;
+    std::string_view upstream;
     attempt_end end = attempt_end::failed;
     // The status, or why there is no reply.
-    std::string reason;
+    std::string_view reason;
     duration elapsed{0};
 };
 
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -23,13 +23,6 @@
     return std::chrono::steady_clock::now();
 }
 
-// Says with what an attempt ended: the status, or why there is no reply.
-std::string describe(const upstream_result& result)
-{
-    return result ? "status " + std::to_string(result.value().status)
-                  : result.error().message;
-}
-
 bool is_success(const upstream_reply& reply)
 {
     return reply.status >= first_success && reply.status <= last_success;
@@ -39,21 +32,29 @@
 
 request_session::request_session(options values)
     : chosen(std::move(values))
-    , headers(end_to_end_headers(this->chosen.request.headers))
-    , decisions(this->chosen.plan)
+    , retries(this->chosen.plan.retries)
+    , decisions(std::move(this->chosen.plan))
     , timer(*this->chosen.worker)
     , linger_timer(*this->chosen.worker)
     , finished(*this->chosen.worker, time_point::max())
 {
+    auto& received = this->chosen.request;
+    upstream_request request;
+    request.method = std::move(received.method);
+    request.target = std::move(received.target);
+    request.headers = end_to_end_headers(received.headers);
+    request.request_id = this->chosen.request_id;
+    request.body = std::move(received.body);
     // The pool writes these anew at each send.
     std::erase_if(
-        this->headers,
+        request.headers,
         [this](const message_header& header)
         {
             return is_same_header(header.name, this->chosen.names->deadline) ||
                    is_same_header(header.name,
                                   this->chosen.names->target_upstream);
         });
+    this->content = std::make_shared<upstream_request>(std::move(request));
 }
 
 asio::awaitable<std::optional<forwarded_request>> request_session::run()
@@ -89,18 +90,14 @@
     const auto now = clock_now();
     upstream_call call;
     call.replica = action.upstream->spec.id;
-    call.method = this->chosen.request.method;
-    call.target = this->chosen.request.target;
-    call.headers = this->headers;
-    call.request_id = this->chosen.request_id;
-    call.body = this->chosen.request.body;
+    call.request = this->content;
     call.deadline = this->chosen.deadline;
     call.priority = this->chosen.priority;
     call.first_byte_timeout = this->chosen.deadline - now;
     // A request that runs once at most can't be repeated after it met a silent
     // connection; a repeat should not meet a second one.
-    const bool needs_fresh = action.is_repeat || this->chosen.plan.retries ==
-                                                     retry_rule::at_most_once;
+    const bool needs_fresh =
+        action.is_repeat || this->retries == retry_rule::at_most_once;
     call.use = needs_fresh ? connection_use::fresh : connection_use::any;
     ++this->outcome.sends;
     const auto attempt = action.attempt;
@@ -114,11 +111,9 @@
         self->decisions.handle_sent(attempt);
         return true;
     };
-    this->calls.emplace(attempt,
-                        running_call{.id = {},
-                                     .upstream = action.upstream->state,
-                                     .service = action.upstream->spec.service,
-                                     .started = now});
+    this->calls.emplace(
+        attempt,
+        running_call{.id = {}, .upstream = action.upstream, .started = now});
     // The handler never runs before start() returns.
     this->calls.at(attempt).id = this->chosen.upstreams->start(
         std::move(call),
@@ -181,9 +176,12 @@
     const auto ended = this->calls.extract(attempt);
     if (ended.empty() || ended.mapped().is_released || this->has_ended)
         return;
-    const auto reason = describe(result);
+    // The reply is moved from when it is kept.
+    const unsigned status = result ? result.value().status : 0;
     const auto end = this->judge(attempt, result);
-    this->record(ended.mapped(), end, reason);
+    this->record(ended.mapped(), end,
+                 result ? "status " + std::to_string(status)
+                        : result.error().message);
     this->apply(this->decisions.handle_end(attempt, end, clock_now()));
 }
 
@@ -218,11 +216,12 @@
 }
 
 void request_session::record(const running_call& call, attempt_end end,
-                             const std::string& reason)
+                             std::string_view reason)
 {
+    const auto& spec = call.upstream->spec;
     this->chosen.log->record_attempt({.request_id = this->chosen.request_id,
-                                      .service = call.service,
-                                      .upstream = call.upstream->name(),
+                                      .service = spec.service,
+                                      .upstream = spec.id,
                                       .end = end,
                                       .reason = reason,
                                       .elapsed = clock_now() - call.started});
@@ -231,7 +230,7 @@
     auto& text = this->outcome.upstreams;
     if (!text.empty())
         text += ',';
-    text += call.upstream->name() + ":" + std::string(to_string(end));
+    text += spec.id + ":" + std::string(to_string(end));
 }
 
 void request_session::handle_caller_gone()
@@ -256,8 +255,8 @@
             continue;
         }
         this->chosen.upstreams->cancel(each->second.id);
-        each->second.upstream->record_unanswered(now - each->second.started,
-                                                 now);
+        each->second.upstream->state->record_unanswered(
+            now - each->second.started, now);
         each = this->calls.erase(each);
     }
 }
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wisteriahatch
@@ -75,8 +76,7 @@
     struct running_call
     {
         upstream_call_id id;
-        std::shared_ptr<upstream_state> upstream;
-        std::string service;
+        registered_upstream_ptr upstream;
         time_point started;
         bool is_released = false;
     };
@@ -93,12 +93,14 @@
     attempt_end judge(attempt_id attempt, upstream_result& outcome);
     // Notes the end of an attempt for the log and the metrics.
     void record(const running_call& call, attempt_end end,
-                const std::string& reason);
+                std::string_view reason);
     void handle_caller_gone();
     void cancel_released();
 
     options chosen;
-    message_headers headers;
+    retry_rule retries;
+    // What every attempt sends.
+    std::shared_ptr<const upstream_request> content;
     fan_out decisions;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer linger_timer;
--- a/Tests/net/pool_fixture.hpp
+++ b/Tests/net/pool_fixture.hpp
@@ -105,10 +105,12 @@
     static upstream_call make_call(const std::string& target,
                                    const std::string& body = "work")
     {
+        upstream_request request;
+        request.target = target;
+        request.body = body;
         upstream_call call;
         call.replica = "u";
-        call.target = target;
-        call.body = body;
+        call.request = std::make_shared<upstream_request>(std::move(request));
         call.deadline =
             std::chrono::steady_clock::now() + std::chrono::seconds(20);
         return call;
