--- a/Libraries/core/base/json_fields.cpp
+++ b/Libraries/core/base/json_fields.cpp
@@ -85,6 +85,35 @@
     return number;
 }
 
+result<std::chrono::milliseconds>
+read_json_milliseconds(const boost::json::object& object, std::string_view key,
+                       std::uint64_t maximum)
+{
+    BOOST_OUTCOME_TRY(const auto count, read_json_number(object, key, maximum));
+    return std::chrono::milliseconds(count);
+}
+
+result<double> read_json_fraction(const boost::json::object& object,
+                                  std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    boost::json::error_code failure;
+    const double number =
+        value == nullptr ? 0 : value->to_number<double>(failure);
+    if (value == nullptr || failure)
+        return malformed(key, "a number");
+    return number;
+}
+
+result<bool> read_json_flag(const boost::json::object& object,
+                            std::string_view key)
+{
+    const auto* value = object.if_contains(key);
+    if (value == nullptr || !value->is_bool())
+        return malformed(key, "true or false");
+    return value->get_bool();
+}
+
 result<std::uint64_t> read_json_hash(const boost::json::object& object,
                                      std::string_view key)
 {
--- a/Libraries/core/base/json_fields.hpp
+++ b/Libraries/core/base/json_fields.hpp
@@ -5,8 +5,10 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -16,6 +18,10 @@
 namespace wisteriahatch
 {
 
+// The greatest whole number that a field may hold.
+inline constexpr std::uint64_t max_json_number =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+
 // Parses an object of at most `max_bytes`, nested at most 8 deep.
 result<boost::json::object> parse_json_object(std::string_view text,
                                               std::size_t max_bytes);
@@ -39,6 +45,19 @@
                                        std::string_view key,
                                        std::uint64_t maximum);
 
+// The same, as milliseconds.
+result<std::chrono::milliseconds>
+read_json_milliseconds(const boost::json::object& object, std::string_view key,
+                       std::uint64_t maximum);
+
+// Returns the number field, which may have a fraction.
+result<double> read_json_fraction(const boost::json::object& object,
+                                  std::string_view key);
+
+// Returns the field that is true or false.
+result<bool> read_json_flag(const boost::json::object& object,
+                            std::string_view key);
+
 // Returns the field that holds 64 bits as a hexadecimal string.
 result<std::uint64_t> read_json_hash(const boost::json::object& object,
                                      std::string_view key);
--- a/Libraries/core/process/directory.cpp
+++ b/Libraries/core/process/directory.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
-#include <limits>
 #include <set>
 
 namespace wisteriahatch
@@ -88,10 +87,8 @@
     BOOST_OUTCOME_TRY(const auto object,
                       parse_json_object(text, max_directory_bytes));
     directory list;
-    BOOST_OUTCOME_TRY(
-        list.revision,
-        read_json_number(object, "revision",
-                         std::numeric_limits<std::int64_t>::max()));
+    BOOST_OUTCOME_TRY(list.revision,
+                      read_json_number(object, "revision", max_json_number));
     BOOST_OUTCOME_TRY(const auto* instances,
                       read_json_array(object, "instances", max_instances));
     list.instances.reserve(instances->size());
--- a/Libraries/core/process/gossip_codec.cpp
+++ b/Libraries/core/process/gossip_codec.cpp
@@ -6,7 +6,6 @@
 #include <array>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
-#include <limits>
 
 namespace wisteriahatch
 {
@@ -69,9 +68,8 @@
 result<document_key> decode_key(const boost::json::object& object)
 {
     document_key key;
-    BOOST_OUTCOME_TRY(
-        key.serial, read_json_number(object, "serial",
-                                     std::numeric_limits<std::int64_t>::max()));
+    BOOST_OUTCOME_TRY(key.serial,
+                      read_json_number(object, "serial", max_json_number));
     BOOST_OUTCOME_TRY(key.digest, decode_digest(object, "digest"));
     return key;
 }
--- a/Libraries/core/process/routing_snapshot.cpp
+++ b/Libraries/core/process/routing_snapshot.cpp
@@ -17,41 +17,27 @@
 {
 
 namespace json = boost::json;
-using std::chrono::milliseconds;
 
 constexpr std::size_t max_items = 100000;
 constexpr std::size_t max_text_bytes = 4096;
-constexpr std::uint64_t max_number =
-    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
 constexpr std::uint64_t max_count = std::numeric_limits<std::uint32_t>::max();
 
-// Reads a fraction, which may also be written as a whole number.
-result<double> read_fraction(const json::object& object, std::string_view key)
+// Decodes the items of an array field, each with `decode`.
+template <class Item>
+result<std::vector<Item>>
+decode_list(const json::object& object, std::string_view key,
+            result<Item> (*decode)(const json::value&))
 {
-    const auto* value = object.if_contains(key);
-    json::error_code failure;
-    const double number =
-        value == nullptr ? 0 : value->to_number<double>(failure);
-    if (value == nullptr || failure)
-        return error{error_kind::malformed_request,
-                     "\"" + std::string(key) + "\" is not a number; send one"};
-    return number;
-}
-
-result<milliseconds> read_time(const json::object& object, std::string_view key)
-{
-    BOOST_OUTCOME_TRY(const auto count,
-                      read_json_number(object, key, max_number));
-    return milliseconds(count);
-}
-
-result<bool> read_flag(const json::object& object, std::string_view key)
-{
-    const auto* value = object.if_contains(key);
-    if (value == nullptr || !value->is_bool())
-        return error{error_kind::malformed_request,
-                     "\"" + std::string(key) + "\" is not true or false"};
-    return value->get_bool();
+    BOOST_OUTCOME_TRY(const auto* values,
+                      read_json_array(object, key, max_items));
+    std::vector<Item> items;
+    items.reserve(values->size());
+    for (const auto& each : *values)
+    {
+        BOOST_OUTCOME_TRY(auto item, decode(each));
+        items.push_back(std::move(item));
+    }
+    return items;
 }
 
 json::object encode_route(const route_spec& route)
@@ -88,11 +74,15 @@
     BOOST_OUTCOME_TRY(route.prefix,
                       read_json_text(*object, "prefix", max_text_bytes));
     BOOST_OUTCOME_TRY(const auto is_idempotent,
-                      read_flag(*object, "idempotent"));
+                      read_json_flag(*object, "idempotent"));
     route.retries =
         is_idempotent ? retry_rule::idempotent : retry_rule::at_most_once;
-    BOOST_OUTCOME_TRY(route.timeout, read_time(*object, "timeout_ms"));
-    BOOST_OUTCOME_TRY(route.target_latency, read_time(*object, "target_ms"));
+    BOOST_OUTCOME_TRY(
+        route.timeout,
+        read_json_milliseconds(*object, "timeout_ms", max_json_number));
+    BOOST_OUTCOME_TRY(
+        route.target_latency,
+        read_json_milliseconds(*object, "target_ms", max_json_number));
     BOOST_OUTCOME_TRY(const auto priority,
                       read_json_number(*object, "priority", max_count));
     BOOST_OUTCOME_TRY(const auto attempts,
@@ -100,7 +90,7 @@
     BOOST_OUTCOME_TRY(route.top_records,
                       read_json_number(*object, "top_records", max_count));
     BOOST_OUTCOME_TRY(route.min_coverage,
-                      read_fraction(*object, "min_coverage"));
+                      read_json_fraction(*object, "min_coverage"));
     route.priority = static_cast<unsigned>(priority);
     route.max_attempts = static_cast<unsigned>(attempts);
     BOOST_OUTCOME_TRY(const auto* services,
@@ -110,7 +100,8 @@
         BOOST_OUTCOME_TRY(const auto* part, read_json_object(each, "services"));
         BOOST_OUTCOME_TRY(auto name,
                           read_json_text(*part, "service", max_text_bytes));
-        BOOST_OUTCOME_TRY(const auto weight, read_fraction(*part, "weight"));
+        BOOST_OUTCOME_TRY(const auto weight,
+                          read_json_fraction(*part, "weight"));
         route.services.push_back(
             {.service = std::move(name), .weight = weight});
     }
@@ -150,14 +141,9 @@
 {
     route_table::options table;
     BOOST_OUTCOME_TRY(table.version,
-                      read_json_number(object, "version", max_number));
-    BOOST_OUTCOME_TRY(const auto* routes,
-                      read_json_array(object, "routes", max_items));
-    for (const auto& each : *routes)
-    {
-        BOOST_OUTCOME_TRY(auto route, decode_route(each));
-        table.routes.push_back(std::move(route));
-    }
+                      read_json_number(object, "version", max_json_number));
+    BOOST_OUTCOME_TRY(table.routes,
+                      decode_list(object, "routes", decode_route));
     BOOST_OUTCOME_TRY(const auto* services,
                       read_json_array(object, "services", max_items));
     for (const auto& each : *services)
@@ -175,14 +161,18 @@
         table.services.emplace(std::move(name), std::move(limits));
     }
     auto& callers = table.callers;
-    BOOST_OUTCOME_TRY(callers.max_header_bytes,
-                      read_json_number(object, "max_header_bytes", max_number));
-    BOOST_OUTCOME_TRY(callers.max_body_bytes,
-                      read_json_number(object, "max_body_bytes", max_number));
-    BOOST_OUTCOME_TRY(callers.header_timeout,
-                      read_time(object, "header_timeout_ms"));
-    BOOST_OUTCOME_TRY(callers.idle_timeout,
-                      read_time(object, "idle_timeout_ms"));
+    BOOST_OUTCOME_TRY(
+        callers.max_header_bytes,
+        read_json_number(object, "max_header_bytes", max_json_number));
+    BOOST_OUTCOME_TRY(
+        callers.max_body_bytes,
+        read_json_number(object, "max_body_bytes", max_json_number));
+    BOOST_OUTCOME_TRY(
+        callers.header_timeout,
+        read_json_milliseconds(object, "header_timeout_ms", max_json_number));
+    BOOST_OUTCOME_TRY(
+        callers.idle_timeout,
+        read_json_milliseconds(object, "idle_timeout_ms", max_json_number));
     return std::make_shared<const route_table>(std::move(table));
 }
 
@@ -213,14 +203,54 @@
     BOOST_OUTCOME_TRY(const auto slots,
                       read_json_number(*object, "slots", max_count));
     spec.slots = static_cast<unsigned>(slots);
-    BOOST_OUTCOME_TRY(spec.is_draining, read_flag(*object, "is_draining"));
-    BOOST_OUTCOME_TRY(spec.warm_up_left, read_time(*object, "warm_up_left_ms"));
+    BOOST_OUTCOME_TRY(spec.is_draining, read_json_flag(*object, "is_draining"));
+    BOOST_OUTCOME_TRY(
+        spec.warm_up_left,
+        read_json_milliseconds(*object, "warm_up_left_ms", max_json_number));
     BOOST_OUTCOME_TRY(const auto start,
-                      read_json_number(*object, "start", max_number));
+                      read_json_number(*object, "start", max_json_number));
     spec.start = {start};
     return spec;
 }
 
+result<upstream_change> decode_change(const json::value& value)
+{
+    BOOST_OUTCOME_TRY(const auto* object, read_json_object(value, "upstreams"));
+    upstream_change change;
+    BOOST_OUTCOME_TRY(change.id, read_json_text(*object, "id", max_text_bytes));
+    if (const auto* spec = object->if_contains("upstream"))
+    {
+        BOOST_OUTCOME_TRY(change.spec, decode_upstream(*spec));
+    }
+    return change;
+}
+
+// Writes a message with what snapshots and changes both hold.
+json::object encode_common(std::uint64_t revision,
+                           const route_table_ptr& routes, json::array upstreams)
+{
+    json::object object{{"revision", revision},
+                        {"upstreams", std::move(upstreams)}};
+    if (routes)
+        object["routing"] = encode_routes(*routes);
+    return object;
+}
+
+// Reads the fields that snapshots and changes both hold, but for the upstreams.
+template <class Message>
+result<void> decode_common(const json::object& object, Message& message)
+{
+    BOOST_OUTCOME_TRY(message.revision,
+                      read_json_number(object, "revision", max_json_number));
+    if (const auto* routing = object.if_contains("routing"))
+    {
+        BOOST_OUTCOME_TRY(const auto* table,
+                          read_json_object(*routing, "routing"));
+        BOOST_OUTCOME_TRY(message.routes, decode_routes(*table));
+    }
+    return boost::outcome_v2::success();
+}
+
 }
 
 std::string encode_snapshot(const routing_snapshot& snapshot)
@@ -228,11 +258,8 @@
     json::array upstreams;
     for (const auto& each : snapshot.upstreams)
         upstreams.push_back(encode_upstream(each));
-    json::object object{{"revision", snapshot.revision},
-                        {"upstreams", std::move(upstreams)}};
-    if (snapshot.routes)
-        object["routing"] = encode_routes(*snapshot.routes);
-    return json::serialize(object);
+    return json::serialize(encode_common(snapshot.revision, snapshot.routes,
+                                         std::move(upstreams)));
 }
 
 result<routing_snapshot> decode_snapshot(std::string_view text)
@@ -240,21 +267,9 @@
     BOOST_OUTCOME_TRY(const auto object,
                       parse_json_object(text, max_snapshot_bytes));
     routing_snapshot snapshot;
-    BOOST_OUTCOME_TRY(snapshot.revision,
-                      read_json_number(object, "revision", max_number));
-    BOOST_OUTCOME_TRY(const auto* upstreams,
-                      read_json_array(object, "upstreams", max_items));
-    for (const auto& each : *upstreams)
-    {
-        BOOST_OUTCOME_TRY(auto spec, decode_upstream(each));
-        snapshot.upstreams.push_back(std::move(spec));
-    }
-    if (const auto* routing = object.if_contains("routing"))
-    {
-        BOOST_OUTCOME_TRY(const auto* table,
-                          read_json_object(*routing, "routing"));
-        BOOST_OUTCOME_TRY(snapshot.routes, decode_routes(*table));
-    }
+    BOOST_OUTCOME_TRY(decode_common(object, snapshot));
+    BOOST_OUTCOME_TRY(snapshot.upstreams,
+                      decode_list(object, "upstreams", decode_upstream));
     return snapshot;
 }
 
@@ -268,11 +283,9 @@
             change["upstream"] = encode_upstream(*each.spec);
         upstreams.push_back(std::move(change));
     }
-    json::object object{{"revision", changes.revision},
-                        {"is_history_lost", changes.is_history_lost},
-                        {"upstreams", std::move(upstreams)}};
-    if (changes.routes)
-        object["routing"] = encode_routes(*changes.routes);
+    auto object =
+        encode_common(changes.revision, changes.routes, std::move(upstreams));
+    object["is_history_lost"] = changes.is_history_lost;
     return json::serialize(object);
 }
 
@@ -281,31 +294,11 @@
     BOOST_OUTCOME_TRY(const auto object,
                       parse_json_object(text, max_snapshot_bytes));
     routing_changes changes;
-    BOOST_OUTCOME_TRY(changes.revision,
-                      read_json_number(object, "revision", max_number));
+    BOOST_OUTCOME_TRY(decode_common(object, changes));
     BOOST_OUTCOME_TRY(changes.is_history_lost,
-                      read_flag(object, "is_history_lost"));
-    BOOST_OUTCOME_TRY(const auto* upstreams,
-                      read_json_array(object, "upstreams", max_items));
-    for (const auto& each : *upstreams)
-    {
-        BOOST_OUTCOME_TRY(const auto* item,
-                          read_json_object(each, "upstreams"));
-        upstream_change change;
-        BOOST_OUTCOME_TRY(change.id,
-                          read_json_text(*item, "id", max_text_bytes));
-        if (const auto* spec = item->if_contains("upstream"))
-        {
-            BOOST_OUTCOME_TRY(change.spec, decode_upstream(*spec));
-        }
-        changes.upstreams.push_back(std::move(change));
-    }
-    if (const auto* routing = object.if_contains("routing"))
-    {
-        BOOST_OUTCOME_TRY(const auto* table,
-                          read_json_object(*routing, "routing"));
-        BOOST_OUTCOME_TRY(changes.routes, decode_routes(*table));
-    }
+                      read_json_flag(object, "is_history_lost"));
+    BOOST_OUTCOME_TRY(changes.upstreams,
+                      decode_list(object, "upstreams", decode_change));
     return changes;
 }
 
--- a/Programs/gateway/peer_source.cpp
+++ b/Programs/gateway/peer_source.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <limits>
 
 namespace wisteriahatch
 {
@@ -16,8 +15,6 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t max_known_bytes = 1024;
-constexpr std::uint64_t max_number =
-    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
 
 error no_reader()
 {
@@ -39,9 +36,9 @@
                       parse_json_object(text, max_known_bytes));
     known_routing known;
     BOOST_OUTCOME_TRY(known.revision,
-                      read_json_number(object, "revision", max_number));
+                      read_json_number(object, "revision", max_json_number));
     BOOST_OUTCOME_TRY(known.version,
-                      read_json_number(object, "version", max_number));
+                      read_json_number(object, "version", max_json_number));
     return known;
 }
 
