telemetry: Register the gauges of every instance once

Both sets of metrics had the members, the running requests and the readiness with their names and texts. Names, texts and values are the same as before.

--- a/Libraries/telemetry/forwarding_metrics.cpp
+++ b/Libraries/telemetry/forwarding_metrics.cpp
@@ -83,14 +83,7 @@
     prometheus::Gauge& running_attempts =
         make_gauge(registry, "wisteriahatch_running_attempts",
                    "Attempts that wait for a connection or an answer.");
-    prometheus::Gauge& members =
-        make_gauge(registry, "wisteriahatch_members_alive",
-                   "Members seen alive, this instance included.");
-    prometheus::Gauge& running =
-        make_gauge(registry, "wisteriahatch_running_requests",
-                   "Requests read and not yet answered.");
-    prometheus::Gauge& ready = make_gauge(registry, "wisteriahatch_ready",
-                                          "1 when the instance is ready.");
+    instance_gauges instance{registry};
     prometheus::Gauge& dropped_lines =
         make_gauge(registry, "wisteriahatch_log_lines_dropped",
                    "Log lines dropped because nobody read the output.");
@@ -169,24 +162,14 @@
     this->state->running_attempts.Set(count);
 }
 
-void forwarding_metrics::set_members(double alive)
-{
-    this->state->members.Set(alive);
-}
-
-void forwarding_metrics::set_running_requests(double count)
-{
-    this->state->running.Set(count);
-}
-
-void forwarding_metrics::set_ready(bool value)
+void forwarding_metrics::set_dropped_log_lines(double count)
 {
-    this->state->ready.Set(value ? 1 : 0);
+    this->state->dropped_lines.Set(count);
 }
 
-void forwarding_metrics::set_dropped_log_lines(double count)
+instance_gauges& forwarding_metrics::instance()
 {
-    this->state->dropped_lines.Set(count);
+    return this->state->instance;
 }
 
 std::string forwarding_metrics::text() const
--- a/Libraries/telemetry/forwarding_metrics.hpp
+++ b/Libraries/telemetry/forwarding_metrics.hpp
@@ -2,6 +2,7 @@
 #define WISTERIAHATCH_TELEMETRY_FORWARDING_METRICS_HPP
 
 #include "core/base/time.hpp"
+#include "telemetry/instance_gauges.hpp"
 
 #include <cstddef>
 #include <memory>
@@ -42,11 +43,11 @@
     void set_ejected_upstreams(double count);
     // Attempts that wait for a connection or an answer.
     void set_running_attempts(double count);
-    void set_members(double alive);
-    void set_running_requests(double count);
-    void set_ready(bool value);
     void set_dropped_log_lines(double count);
 
+    // What every instance exports.
+    instance_gauges& instance();
+
     // Text exposition format for GET /metrics.
     std::string text() const;
 
--- a/Libraries/telemetry/metrics.cpp
+++ b/Libraries/telemetry/metrics.cpp
@@ -52,14 +52,7 @@
     prometheus::Gauge& serial =
         make_gauge(registry, "wisteriahatch_document_serial",
                    "Serial of the document in force; 0 for none.");
-    prometheus::Gauge& members =
-        make_gauge(registry, "wisteriahatch_members_alive",
-                   "Members seen alive, this instance included.");
-    prometheus::Gauge& running =
-        make_gauge(registry, "wisteriahatch_running_requests",
-                   "Requests read and not yet answered.");
-    prometheus::Gauge& ready = make_gauge(registry, "wisteriahatch_ready",
-                                          "1 when the instance is ready.");
+    instance_gauges instance{registry};
 };
 
 metrics::metrics()
@@ -104,27 +97,17 @@
     this->state->serial.Set(serial);
 }
 
-void metrics::set_members(double alive)
-{
-    this->state->members.Set(alive);
-}
-
-void metrics::set_running_requests(double count)
-{
-    this->state->running.Set(count);
-}
-
-void metrics::set_ready(bool value)
-{
-    this->state->ready.Set(value ? 1 : 0);
-}
-
 void metrics::count_control_bytes(double sent, double received)
 {
     this->state->control_bytes.add(sent, "sent");
     this->state->control_bytes.add(received, "received");
 }
 
+instance_gauges& metrics::instance()
+{
+    return this->state->instance;
+}
+
 std::string metrics::text() const
 {
     std::vector<prometheus::MetricFamily> families =
--- a/Libraries/telemetry/metrics.hpp
+++ b/Libraries/telemetry/metrics.hpp
@@ -2,6 +2,7 @@
 #define WISTERIAHATCH_TELEMETRY_METRICS_HPP
 
 #include "core/base/time.hpp"
+#include "telemetry/instance_gauges.hpp"
 
 #include <memory>
 #include <string>
@@ -34,12 +35,12 @@
     void count_document(std::string_view result);
     // Current values.
     void set_document_serial(double serial);
-    void set_members(double alive);
-    void set_running_requests(double count);
-    void set_ready(bool value);
     // Bytes of control traffic sent and received.
     void count_control_bytes(double sent, double received);
 
+    // What every instance exports.
+    instance_gauges& instance();
+
     // Text exposition format for GET /metrics.
     std::string text() const;
 
--- a/Programs/entry/control_loop.cpp
+++ b/Programs/entry/control_loop.cpp
@@ -317,7 +317,8 @@
         return;
     this->members_generation = table.generation();
     const auto addresses = table.live_addresses();
-    this->chosen.measures->set_members(static_cast<double>(addresses.size()));
+    this->chosen.measures->instance().set_members(
+        static_cast<double>(addresses.size()));
     this->apply(this->documents.set_members(addresses, clock_now()));
     this->publish_status();
 }
@@ -405,7 +406,7 @@
         this->apply(this->documents.handle_timer(now));
         const bool may_serve = this->documents.is_ready(now) && !this->leaving;
         this->ready = may_serve;
-        this->chosen.measures->set_ready(may_serve);
+        this->chosen.measures->instance().set_ready(may_serve);
         timer.expires_after(timer_period);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/Programs/entry/entry_process.cpp
+++ b/Programs/entry/entry_process.cpp
@@ -175,7 +175,7 @@
         route{"/v1/run-ids", &entry_process::issue_run_id},
         route{"/v1/run", &entry_process::handle_run},
     };
-    this->measures.set_running_requests(
+    this->measures.instance().set_running_requests(
         static_cast<double>(this->caller_server.running_requests()));
     if (request.method == "POST" && request.target == "/v1/query")
         co_return co_await this->queries.handle(std::move(request));
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -242,10 +242,11 @@
     this->measures.set_routes_version(
         routes ? static_cast<double>(routes->version()) : 0);
     this->measures.set_source_age(now - this->state.source_heard);
-    this->measures.set_members(static_cast<double>(this->peers.live_members()));
-    this->measures.set_running_requests(
+    this->measures.instance().set_members(
+        static_cast<double>(this->peers.live_members()));
+    this->measures.instance().set_running_requests(
         static_cast<double>(this->caller_server.running_requests()));
-    this->measures.set_ready(this->is_ready());
+    this->measures.instance().set_ready(this->is_ready());
     this->measures.set_dropped_log_lines(
         static_cast<double>(dropped_log_lines()));
 
--- a/Tests/telemetry/forwarding_metrics.cpp
+++ b/Tests/telemetry/forwarding_metrics.cpp
@@ -24,9 +24,9 @@
     measures.set_routes_version(7);
     measures.set_source_age(1500ms);
     measures.set_upstreams(3);
-    measures.set_members(9);
-    measures.set_running_requests(4);
-    measures.set_ready(true);
+    measures.instance().set_members(9);
+    measures.instance().set_running_requests(4);
+    measures.instance().set_ready(true);
     measures.set_dropped_log_lines(5);
     const auto text = measures.text();
     for (const char* line :
--- a/Tests/telemetry/metrics.cpp
+++ b/Tests/telemetry/metrics.cpp
@@ -18,9 +18,9 @@
     recorded.count_upstream_failure("counter-quote", "connect_failed");
     recorded.count_document("stale");
     recorded.set_document_serial(12);
-    recorded.set_members(9);
-    recorded.set_running_requests(3);
-    recorded.set_ready(true);
+    recorded.instance().set_members(9);
+    recorded.instance().set_running_requests(3);
+    recorded.instance().set_ready(true);
     recorded.count_control_bytes(100, 200);
     const std::string text = recorded.text();
     for (const char* line :
