net, entry, gateway: Wait for the close of idle connections in a stop

The gateway waited 100 ms for other threads to have closed idle connections: a worker that is held up for longer, as one with 0.12 of a core may be, would have let the process end before. stop_accepting() now returns a result that is ready when all workers have done it, and both programs wait for that; the 100 ms stay for callers that have connected and not yet sent their first request. The test of a drain requires that all running requests count from then on.

--- a/Libraries/net/http_server.cpp
+++ b/Libraries/net/http_server.cpp
@@ -80,15 +80,17 @@
         return boost::outcome_v2::success();
     }
 
-    void stop_accepting()
+    std::future<void> stop_accepting()
     {
+        const auto done = std::make_shared<std::promise<void>>();
         asio::post(this->workers.at(0),
-                   [self = this->shared_from_this()]
+                   [self = this->shared_from_this(), done]
                    {
                        if (const auto listener = self->acceptor.lock())
                            self->close_listener(*listener);
-                       self->close_idle_sessions();
+                       self->close_idle_sessions(done);
                    });
+        return done->get_future();
     }
 
     // Runs on the first worker, and owns the listening socket.
@@ -202,14 +204,19 @@
         --self->context->open_connections;
     }
 
-    void close_idle_sessions()
+    // Sets `done` when each worker has closed its idle connections.
+    void close_idle_sessions(const std::shared_ptr<std::promise<void>>& done)
     {
+        const auto left =
+            std::make_shared<std::atomic<std::size_t>>(this->workers.size());
         for (std::size_t worker = 0; worker < this->workers.size(); ++worker)
             asio::post(this->workers.at(worker),
-                       [self = this->shared_from_this(), worker]
+                       [self = this->shared_from_this(), worker, left, done]
                        {
                            for (auto* session : self->sessions[worker])
                                session->close_if_idle();
+                           if (--*left == 0)
+                               done->set_value();
                        });
     }
 
@@ -248,9 +255,9 @@
     this->state->context->is_draining = true;
 }
 
-void http_server::stop_accepting()
+std::future<void> http_server::stop_accepting()
 {
-    this->state->stop_accepting();
+    return this->state->stop_accepting();
 }
 
 std::size_t http_server::running_requests() const
--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <future>
 #include <memory>
 #include <optional>
 #include <string>
@@ -112,8 +113,10 @@
     // Every further reply carries "Connection: close"; accepting goes on.
     void begin_drain();
     // Closes the listening socket and idle connections. Running requests go
-    // on.
-    void stop_accepting();
+    // on. The result is ready when the workers have done so: every request
+    // that was read until then counts in running_requests(). It never is where
+    // the workers have been stopped.
+    std::future<void> stop_accepting();
     // Requests whose first byte was read and whose reply is not yet written.
     std::size_t running_requests() const;
     http_connection_counts connections() const;
--- a/Programs/entry/entry_process.cpp
+++ b/Programs/entry/entry_process.cpp
@@ -149,7 +149,7 @@
     // The balancer learns from /ready and from the platform's list, which
     // lags; until then it still sends callers here.
     std::this_thread::sleep_for(this->values.drain_grace);
-    this->caller_server.stop_accepting();
+    this->caller_server.stop_accepting().wait();
     std::this_thread::sleep_for(last_requests);
     while (this->caller_server.running_requests() > 0 ||
            this->peer_server.running_requests() > 0)
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -22,9 +22,9 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds drain_poll{20};
-// From the order to close idle connections until it was carried out and what
-// had arrived before it has been read.
-constexpr std::chrono::milliseconds close_settle_time{100};
+// Callers that have just connected are about to send their first request, which
+// does not count as running yet.
+constexpr std::chrono::milliseconds first_request_wait{100};
 // Part of the grace in which callers' balancer notices that this instance is
 // not ready: it asks each second and believes the second answer.
 constexpr double listening_share = 0.5;
@@ -205,9 +205,9 @@
     this->caller_server.begin_drain();
     asio::post(this->workers.at(0), [this] { this->peers.set_leaving(); });
     std::this_thread::sleep_for(grace * listening_share);
-    this->caller_server.stop_accepting();
-    std::this_thread::sleep_for(close_settle_time);
     const auto last = started + grace - grace_margin;
+    this->caller_server.stop_accepting().wait_until(last);
+    std::this_thread::sleep_for(first_request_wait);
     while (this->caller_server.running_requests() > 0 &&
            std::chrono::steady_clock::now() < last)
         std::this_thread::sleep_for(drain_poll);
--- a/Tests/net/http_server.cpp
+++ b/Tests/net/http_server.cpp
@@ -170,7 +170,11 @@
     raw_client late(this->server.endpoint());
     late.get("/echo");
     CHECK(late.read()["Connection"] == "close");
-    this->server.stop_accepting();
+    const auto stopped = this->server.stop_accepting();
+    REQUIRE(stopped.wait_for(std::chrono::seconds(20)) ==
+            std::future_status::ready);
+    // From here on, what has been read counts as running.
+    CHECK(this->server.running_requests() == 40);
     CHECK(idle.read().result_int() == 0);
     CHECK(wait_until([&] { return this->server.running_requests() == 40; }));
     this->held.is_open = true;
