core, gateway: Move the share of connections out of the gateway's shell

What one instance may open to an upstream was decided in source_watcher, a process's shell, beside the choice of home upstreams in the core. It is a function of the core now, with a table of cases; the results are the same.

--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -1,5 +1,6 @@
 #include "source_watcher.hpp"
 
+#include "core/process/connection_share.hpp"
 #include "core/process/home_upstreams.hpp"
 #include "net/http_client.hpp"
 #include "telemetry/log.hpp"
@@ -26,22 +27,6 @@
     return std::chrono::steady_clock::now();
 }
 
-// Returns the connections that this instance may open to an upstream: its part
-// of what the upstream accepts, and no more than can be of use.
-unsigned connection_share(const route_table* routes, const upstream_spec& spec,
-                          std::size_t instances)
-{
-    const auto* limits =
-        routes == nullptr ? nullptr : routes->find_service(spec.service);
-    const unsigned most = spec.slots + 1;
-    if (limits == nullptr)
-        return 1;
-    const double part = source_watcher::connection_use_ratio *
-                        limits->max_connections /
-                        static_cast<double>(instances);
-    return std::clamp(static_cast<unsigned>(part), 1U, most);
-}
-
 }
 
 source_watcher::source_watcher(options values)
@@ -304,14 +289,21 @@
 void source_watcher::publish_upstreams()
 {
     this->choose_homes();
+    const auto& routes = this->chosen.state->routes;
     std::map<std::string, upstream_address> addresses;
     for (const auto& [id, entry] : this->chosen.state->upstreams.all())
     {
         const auto endpoint = parse_endpoint(entry->spec.address);
         if (!endpoint)
             continue;
-        const auto share = connection_share(this->chosen.state->routes.get(),
-                                            entry->spec, this->instances);
+        const auto* limits =
+            routes ? routes->find_service(entry->spec.service) : nullptr;
+        const auto share =
+            limits == nullptr
+                ? 1
+                : connection_share({.max_connections = limits->max_connections,
+                                    .slots = entry->spec.slots,
+                                    .instances = this->instances});
         const auto idle_timeout = entry->state->is_home()
                                       ? std::chrono::milliseconds(0)
                                       : brief_idle_timeout;
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -57,8 +57,6 @@
     static constexpr std::chrono::milliseconds first_retry{100};
     static constexpr std::chrono::milliseconds longest_retry{800};
 
-    // Part of an upstream's connections that all instances use together.
-    static constexpr double connection_use_ratio = 0.65;
     // Connections to upstreams that are not home close after this long.
     static constexpr std::chrono::seconds brief_idle_timeout{2};
 
--- /dev/null
+++ b/Tests/core/process/connection_share.cpp
@@ -0,0 +1,29 @@
+#include "core/process/connection_share.hpp"
+
+#include <doctest/doctest.h>
+#include <initializer_list>
+
+using namespace wisteriahatch;
+
+// Guards against instances that together open more connections than an upstream
+// accepts, and against one that opens none.
+TEST_CASE("the connections of an upstream are divided by the instances")
+{
+    struct scenario
+    {
+        unsigned max_connections, slots;
+        std::size_t instances;
+        unsigned share;
+    };
+    for (const auto& each :
+         {scenario{31, 3, 9, 2}, scenario{26, 2, 7, 2}, scenario{110, 2, 9, 3},
+          scenario{66, 4, 69, 1}, scenario{31, 3, 80, 1}, scenario{31, 3, 0, 4},
+          scenario{0, 0, 9, 1}, scenario{800, 0, 9, 1}})
+    {
+        CAPTURE(each.max_connections);
+        CAPTURE(each.instances);
+        CHECK(connection_share({.max_connections = each.max_connections,
+                                .slots = each.slots,
+                                .instances = each.instances}) == each.share);
+    }
+}
