core, gateway: Give the fleet size estimate a state, and read the store once a failure domain at any size

Cause: the estimate used 80 instances for "not settled yet". The same constant bounded connections and repeats after a start, and was too low for 195 instances that lose power together. Change: an estimate is a number and a view, settling or settled. While it is settling an instance takes the smallest share of each limit, which is safe for a fleet of any size: one connection and one upstream of a service, and repeats only from earned tokens. The reserve is granted when the view has settled, and is no longer rounded down (1.98 tokens instead of 1 for 195 instances). A view settles when no new instance has appeared for longer than a gossip round, and gossip runs at the short interval while messages bring several unknown members; a test found views settled with 129 of 195 instances before that.

--- a/Libraries/core/process/connection_share.cpp
+++ b/Libraries/core/process/connection_share.cpp
@@ -7,7 +7,9 @@
 
 unsigned connection_share(const connection_bounds& bounds)
 {
-    const auto instances = std::max<std::size_t>(1, bounds.instances);
+    if (bounds.fleet.view == fleet_view::settling)
+        return 1;
+    const auto instances = std::max<std::size_t>(1, bounds.fleet.instances);
     const double share = usable_connection_ratio * bounds.max_connections /
                          static_cast<double>(instances);
     return std::clamp(static_cast<unsigned>(share), 1U, bounds.slots + 1);
--- a/Libraries/core/process/connection_share.hpp
+++ b/Libraries/core/process/connection_share.hpp
@@ -1,7 +1,7 @@
 #ifndef WISTERIAHATCH_CORE_PROCESS_CONNECTION_SHARE_HPP
 #define WISTERIAHATCH_CORE_PROCESS_CONNECTION_SHARE_HPP
 
-#include <cstddef>
+#include "core/process/fleet_size_estimate.hpp"
 
 namespace wisteriahatch
 {
@@ -16,12 +16,14 @@
     unsigned max_connections = 1;
     // Requests that the upstream processes concurrently.
     unsigned slots = 1;
-    std::size_t instances = 1;
+    // The instances that share the upstream.
+    fleet_size fleet;
 };
 
 // Returns how many connections one instance may open to an upstream: at least
 // 1, and at most one more than the upstream's slots, because more are of no
-// use.
+// use. While the view of the fleet is settling it is 1, which holds in a fleet
+// of any size that the upstream has room for.
 unsigned connection_share(const connection_bounds& bounds);
 
 }
--- a/Libraries/core/process/hedge_budget.cpp
+++ b/Libraries/core/process/hedge_budget.cpp
@@ -11,17 +11,26 @@
 
 constexpr std::int64_t millitokens_per_token = 1000;
 
+std::int64_t to_millitokens(double tokens)
+{
+    return std::llround(tokens * millitokens_per_token);
+}
+
+}
+
+hedge_budget::hedge_budget(double max_tokens)
+    : max_millitokens(to_millitokens(max_tokens))
+{
 }
 
-hedge_budget::hedge_budget(unsigned max_tokens)
-    : max_millitokens(max_tokens * millitokens_per_token)
-    , millitokens(this->max_millitokens.load())
+void hedge_budget::fill()
 {
+    this->millitokens = this->max_millitokens.load();
 }
 
-void hedge_budget::set_max_tokens(unsigned max_tokens)
+void hedge_budget::set_max_tokens(double max_tokens)
 {
-    const std::int64_t limit = max_tokens * millitokens_per_token;
+    const auto limit = to_millitokens(max_tokens);
     this->max_millitokens = limit;
     std::int64_t current = this->millitokens;
     while (current > limit &&
@@ -32,8 +41,7 @@
 
 void hedge_budget::earn(double percent)
 {
-    const std::int64_t earned =
-        std::llround(percent / 100 * millitokens_per_token);
+    const auto earned = to_millitokens(percent / 100);
     std::int64_t current = this->millitokens;
     while (!this->millitokens.compare_exchange_weak(
         current, std::min(current + earned, this->max_millitokens.load())))
--- a/Libraries/core/process/hedge_budget.hpp
+++ b/Libraries/core/process/hedge_budget.hpp
@@ -17,11 +17,13 @@
     static constexpr unsigned default_max_tokens = 10;
 
     hedge_budget() = default;
-    // Starts full, with `max_tokens` as the maximum.
-    explicit hedge_budget(unsigned max_tokens);
+    // Starts empty, with `max_tokens` as the maximum.
+    explicit hedge_budget(double max_tokens);
 
     // Changes the maximum that can be saved up; tokens above it are dropped.
-    void set_max_tokens(unsigned max_tokens);
+    void set_max_tokens(double max_tokens);
+    // Raises the tokens to the maximum.
+    void fill();
     // Earns `percent`/100 of a token for one first attempt.
     void earn(double percent);
     // Spends one token; returns false when less than one is left.
--- a/Libraries/core/process/membership.cpp
+++ b/Libraries/core/process/membership.cpp
@@ -19,6 +19,10 @@
 constexpr unsigned fast_round_count = 3;
 constexpr std::chrono::milliseconds fast_round_interval{100};
 
+// A message with at least this many members that were unknown shows an
+// incomplete table. Single members also join a running fleet.
+constexpr std::size_t min_unknown_members = 2;
+
 }
 
 membership::membership(options opts, std::uint64_t seed)
@@ -175,11 +179,16 @@
 
 void membership::merge(const gossip_message& message, time_point now)
 {
+    const auto known = this->table.size();
     this->table.merge_sender(message.sender, now);
     const auto origin =
         message.bucket ? record_origin::repair : record_origin::update;
     for (const auto& record : message.records)
         this->table.merge(record, origin, now);
+    if (this->table.size() < known + min_unknown_members)
+        return;
+    this->fast_rounds_left = std::max(this->fast_rounds_left, 1U);
+    this->next_round = std::min(this->next_round, now + fast_round_interval);
 }
 
 std::optional<std::string> membership::choose_target()
--- a/Libraries/core/process/membership.hpp
+++ b/Libraries/core/process/membership.hpp
@@ -82,7 +82,9 @@
 private:
     gossip_message compose(const std::string& receiver);
     void add_bucket(gossip_message& message, unsigned bucket) const;
-    // Merges the sender and the records of a message into the table.
+    // Merges the sender and the records of a message into the table. A message
+    // with several unknown members starts a round at the short interval: the
+    // table is far from complete, as after a start of the whole fleet.
     void merge(const gossip_message& message, time_point now);
     std::optional<std::string> choose_target();
     duration round_interval() const;
--- a/Libraries/core/process/retry_budgets.hpp
+++ b/Libraries/core/process/retry_budgets.hpp
@@ -1,8 +1,10 @@
 #ifndef WISTERIAHATCH_CORE_PROCESS_RETRY_BUDGETS_HPP
 #define WISTERIAHATCH_CORE_PROCESS_RETRY_BUDGETS_HPP
 
+#include "core/process/fleet_size_estimate.hpp"
 #include "core/process/hedge_budget.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -10,6 +12,15 @@
 namespace wisteriahatch
 {
 
+// Whether the budgets of an instance may hold tokens that it has not earned.
+enum class reserve_grant : std::uint8_t
+{
+    // Budgets start empty.
+    withheld,
+    // Budgets start full.
+    granted,
+};
+
 // Budgets for the repeats (retries and hedges) that this instance sends to each
 // service. A service's limit applies to all instances together: each earns
 // tokens from its own requests only, so that the sum stays within the limit
@@ -21,13 +32,15 @@
     {
         // Repeats allowed for each request to a service.
         double ratio = 0.1;
-        // Tokens of a new budget, and the maximum that can be saved up.
-        unsigned reserve = 2;
+        // Maximum number of tokens that can be saved up.
+        double reserve = 2;
+        reserve_grant grant = reserve_grant::granted;
     };
 
     explicit retry_budgets(options opts);
 
-    // Takes effect at once; tokens above a smaller reserve are dropped.
+    // Takes effect at once: tokens above a smaller reserve are dropped, and the
+    // budgets are filled when their reserve is granted for the first time.
     void set_options(options opts);
     // Adds the tokens earned by one request to the service.
     void earn(std::string_view service);
@@ -43,6 +56,26 @@
     std::map<std::string, hedge_budget, std::less<>> budgets;
 };
 
+// The repeats that a service tolerates from all instances of the fleet in a
+// window of time.
+struct fleet_repeat_limit
+{
+    // Repeats for each request to the service.
+    double ratio = 0.1;
+    // Repeats beyond the ratio.
+    double slack = 10;
+};
+
+// Part of the tolerated repeats that is used, because instances measure
+// different loads.
+inline constexpr double usable_repeat_ratio = 0.9;
+
+// Returns one instance's share of the limit. While the view of the fleet is
+// settling the reserve is withheld, so that the repeats of a fleet of any size
+// stay within the ratio.
+retry_budgets::options repeat_share(const fleet_repeat_limit& limit,
+                                    const fleet_size& fleet);
+
 }
 
 #endif
--- a/Libraries/core/process/upstream_subset.cpp
+++ b/Libraries/core/process/upstream_subset.cpp
@@ -35,12 +35,14 @@
 std::size_t subset_size(std::size_t upstreams,
                         const upstream_subset::options& values)
 {
+    if (values.fleet.view == fleet_view::settling)
+        return 1;
     const double connections = static_cast<double>(upstreams) *
                                values.max_connections *
                                upstream_subset::idle_connection_ratio;
     const auto share = static_cast<std::size_t>(
         connections /
-        static_cast<double>(std::max<std::size_t>(1, values.instances)));
+        static_cast<double>(std::max<std::size_t>(1, values.fleet.instances)));
     return std::clamp<std::size_t>(share, 1,
                                    std::max<std::size_t>(1, upstreams));
 }
--- a/Libraries/core/process/upstream_subset.hpp
+++ b/Libraries/core/process/upstream_subset.hpp
@@ -1,6 +1,7 @@
 #ifndef WISTERIAHATCH_CORE_PROCESS_UPSTREAM_SUBSET_HPP
 #define WISTERIAHATCH_CORE_PROCESS_UPSTREAM_SUBSET_HPP
 
+#include "core/process/fleet_size_estimate.hpp"
 #include "core/process/upstream_registry.hpp"
 
 #include <cstddef>
@@ -29,8 +30,9 @@
         std::string instance;
         // This instance's failure domain, whose upstreams are preferred.
         std::string failure_domain;
-        // Instances that share the upstreams.
-        std::size_t instances = 1;
+        // Instances that share the upstreams. While the view of the fleet is
+        // settling, the subset is a single upstream.
+        fleet_size fleet;
         // Connections that each upstream accepts from all instances.
         unsigned max_connections = 1;
     };
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -32,9 +32,6 @@
 // Subtracted from the shutdown grace, so that the process ends before it is
 // killed.
 constexpr std::chrono::milliseconds shutdown_grace_margin{600};
-// Part of the tolerated repeats that is used, because instances measure
-// different loads.
-constexpr double usable_repeat_ratio = 0.9;
 // Idle connections of callers are kept longer than callers reuse them.
 constexpr std::chrono::milliseconds idle_timeout_margin{1000};
 
@@ -64,12 +61,10 @@
 }
 
 retry_budgets::options make_budget_options(const gateway_settings& values,
-                                           std::size_t instances)
+                                           const fleet_size& fleet)
 {
-    const double reserve = values.repeat_slack * usable_repeat_ratio /
-                           static_cast<double>(instances);
-    return {.ratio = values.repeat_ratio * usable_repeat_ratio,
-            .reserve = static_cast<unsigned>(std::max(1.0, reserve))};
+    return repeat_share(
+        {.ratio = values.repeat_ratio, .slack = values.repeat_slack}, fleet);
 }
 
 std::uint64_t random_seed();
@@ -107,8 +102,8 @@
     , dialect(make_forwarding_dialect(names))
     , state{.routes = nullptr,
             .upstreams = {},
-            .budgets = retry_budgets(make_budget_options(
-                this->settings, fleet_size_estimate::initial_instances)),
+            .budgets =
+                retry_budgets(make_budget_options(this->settings, this->fleet)),
             .split = {},
             .random = std::mt19937_64(random_seed())}
     , upstreams(this->workers, make_pool_options(this->dialect))
@@ -123,8 +118,8 @@
              .state = &this->state,
              .watcher = &this->watcher,
              .membership_options = make_membership_options(this->settings),
-             .handle_instance_count = [this](std::size_t count)
-             { this->set_instance_count(count); }})
+             .handle_fleet_size = [this](const fleet_size& size)
+             { this->set_fleet_size(size); }})
     , reader(this->peers, this->watcher)
     , requests({.worker = &this->workers.at(0),
                 .state = &this->state,
@@ -307,7 +302,7 @@
     this->shutdown_grace = changed.value().shutdown_grace;
     this->settings.repeat_ratio = changed.value().repeat_ratio;
     this->settings.repeat_slack = changed.value().repeat_slack;
-    this->set_instance_count(this->instance_count);
+    this->set_fleet_size(this->fleet);
     start_logging(program_name, changed.value().log_level);
     log_event(
         log_level::info, "reloaded",
@@ -328,14 +323,16 @@
     this->peers.handle_pause();
 }
 
-void gateway_process::set_instance_count(std::size_t count)
+void gateway_process::set_fleet_size(const fleet_size& size)
 {
-    this->instance_count = count;
-    const auto budgets = make_budget_options(this->settings, count);
+    const bool is_settled = size.view == fleet_view::settled;
+    this->fleet = size;
+    const auto budgets = make_budget_options(this->settings, size);
     this->state.budgets.set_options(budgets);
-    this->watcher.set_instance_count(count);
+    this->watcher.set_fleet_size(size);
     log_event(log_level::info, "shares_changed",
-              {{"instances", std::to_string(count)},
+              {{"instances", std::to_string(size.instances)},
+               {"view", is_settled ? "settled" : "settling"},
                {"repeat_reserve", std::to_string(budgets.reserve)}});
 }
 
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -55,9 +55,9 @@
     // while the process runs.
     void reload(const std::string& cause);
     void handle_pause(duration length);
-    // Divides connections to upstreams and the repeat budget among this number
-    // of instances.
-    void set_instance_count(std::size_t count);
+    // Divides connections to upstreams and the repeat budget among the
+    // instances of the fleet.
+    void set_fleet_size(const fleet_size& size);
     void drain();
 
     std::string settings_path;
@@ -67,6 +67,7 @@
     std::shared_ptr<const upstream_dialect> dialect;
     // One thread: an instance has a fraction of a core.
     worker_pool workers{1};
+    fleet_size fleet;
     gateway_state state;
     upstream_pool upstreams;
     source_watcher watcher;
@@ -84,7 +85,6 @@
     boost::asio::steady_timer reload_timer;
     std::filesystem::file_time_type settings_write_time;
     std::atomic<std::chrono::milliseconds> shutdown_grace;
-    std::size_t instance_count = fleet_size_estimate::initial_instances;
     std::atomic<bool> is_draining{false};
 };
 
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -39,7 +39,7 @@
     , peers(peer_client::options{.control = this->config.worker,
                                  .timeout = call_timeout,
                                  .threads = call_threads})
-    , fleet_size(clock_now())
+    , fleet(clock_now())
 {
     this->methods.add("gossip.exchange", [this](const std::string& parameters)
                       { return this->answer_gossip(parameters); });
@@ -93,8 +93,6 @@
 std::string peer_exchange::reader_address() const
 {
     const auto& own = this->members.members().self();
-    if (this->fleet_size.instances() >= fleet_size_estimate::initial_instances)
-        return "";
     std::string lowest = own.address;
     for (const auto& member : this->members.members().members())
         if (member.state == member_state::alive &&
@@ -216,8 +214,8 @@
         announced_revision = revision;
         for (const auto& each : this->members.handle_timer(now))
             this->exchange(each);
-        if (this->fleet_size.update(this->live_members(), now))
-            this->config.handle_instance_count(this->fleet_size.instances());
+        if (this->fleet.update(this->live_members(), now))
+            this->config.handle_fleet_size(this->fleet.size());
         timer.expires_at(std::min(now + max_timer_period,
                                   std::max(this->members.next_timer(), now)));
         boost::system::error_code ignored;
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -32,9 +32,9 @@
         gateway_state* state = nullptr;
         source_watcher* watcher = nullptr;
         membership::options membership_options;
-        // Called when the number of instances has changed among which
-        // connections and repeats are divided.
-        std::function<void(std::size_t instances)> handle_instance_count;
+        // Called when the estimate has changed of how many instances share
+        // connections and repeats.
+        std::function<void(const fleet_size&)> handle_fleet_size;
     };
 
     // Routing is fetched from peers when the source has not answered for this
@@ -54,7 +54,7 @@
     call(std::string address, std::string method, std::string parameters);
     // Returns the address of the instance that watches the source for this
     // failure domain: the alive one with the lowest address. Empty when it is
-    // this instance, or when this instance may not yet know the others.
+    // this instance, as far as this instance knows the others.
     std::string reader_address() const;
     // Members that are alive or suspect, this instance included.
     std::size_t live_members() const;
@@ -83,7 +83,7 @@
     peer_client peers;
     rpc_server methods;
     time_point last_snapshot{};
-    fleet_size_estimate fleet_size;
+    fleet_size_estimate fleet;
 };
 
 }
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -113,9 +113,9 @@
     return this->has_reachable_source;
 }
 
-void source_watcher::set_instance_count(std::size_t count)
+void source_watcher::set_fleet_size(const fleet_size& size)
 {
-    this->instance_count = count;
+    this->fleet = size;
     this->publish_upstreams();
 }
 
@@ -283,7 +283,7 @@
         const upstream_subset subset(
             group, {.instance = this->config.instance,
                     .failure_domain = this->config.failure_domain,
-                    .instances = this->instance_count,
+                    .fleet = this->fleet,
                     .max_connections = limits->max_connections});
         for (const auto& each : group)
             each->state->set_in_subset(subset.contains(each->spec.id));
@@ -307,7 +307,7 @@
                 ? 1
                 : connection_share({.max_connections = limits->max_connections,
                                     .slots = entry->spec.slots,
-                                    .instances = this->instance_count});
+                                    .fleet = this->fleet});
         const auto idle_timeout = entry->state->is_in_subset()
                                       ? std::chrono::milliseconds(0)
                                       : outside_subset_idle_timeout;
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -83,8 +83,8 @@
     // True when the latest call to the source succeeded, or a peer has answered
     // since.
     bool is_source_reachable() const;
-    // Divides the connections to upstreams among this number of instances.
-    void set_instance_count(std::size_t count);
+    // Divides the connections to upstreams among the instances of the fleet.
+    void set_fleet_size(const fleet_size& size);
 
 private:
     // Adopts the routes if their version is newer.
@@ -121,7 +121,7 @@
     time_point peer_backoff_end{};
     routing_change_log change_log;
     // Instances that share the upstreams' connections.
-    std::size_t instance_count = fleet_size_estimate::initial_instances;
+    fleet_size fleet;
 };
 
 }
--- a/Tests/core/process/connection_share.cpp
+++ b/Tests/core/process/connection_share.cpp
@@ -14,16 +14,20 @@
         unsigned max_connections, slots;
         std::size_t instances;
         unsigned share;
+        fleet_view view = fleet_view::settled;
     };
     for (const auto& each :
          {scenario{31, 3, 9, 2}, scenario{26, 2, 7, 2}, scenario{110, 2, 9, 3},
           scenario{66, 4, 69, 1}, scenario{31, 3, 80, 1}, scenario{31, 3, 0, 4},
-          scenario{0, 0, 9, 1}, scenario{800, 0, 9, 1}})
+          scenario{0, 0, 9, 1}, scenario{800, 0, 9, 1},
+          scenario{125, 3, 195, 1},
+          scenario{110, 2, 9, 1, fleet_view::settling}})
     {
         CAPTURE(each.max_connections);
         CAPTURE(each.instances);
         CHECK(connection_share({.max_connections = each.max_connections,
                                 .slots = each.slots,
-                                .instances = each.instances}) == each.share);
+                                .fleet = {each.instances, each.view}}) ==
+              each.share);
     }
 }
--- /dev/null
+++ b/Tests/core/process/fleet_start.cpp
@@ -0,0 +1,224 @@
+#include "core/process/connection_share.hpp"
+#include "core/process/fleet_size_estimate.hpp"
+#include "core/process/membership.hpp"
+#include "core/process/retry_budgets.hpp"
+#include "core/process/upstream_subset.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto tick = 100ms;
+
+// One instance of a fleet that starts at once, for example after a loss of
+// power. Messages arrive within the tick in which they are sent.
+struct starting_instance
+{
+    membership members;
+    fleet_size_estimate size;
+};
+
+std::string address_of(std::size_t index)
+{
+    return std::to_string(index);
+}
+
+class starting_fleet
+{
+public:
+    explicit starting_fleet(std::size_t instances)
+    {
+        for (std::size_t index = 0; index < instances; ++index)
+        {
+            membership::options opts;
+            opts.self.address = address_of(index);
+            opts.self.failure_domain = "z" + std::to_string(index % 6);
+            opts.self.nonce = {index + 1};
+            opts.self.epoch = 1;
+            opts.seeds = {address_of(0), address_of(instances / 3),
+                          address_of(instances / 3 * 2)};
+            this->instances.push_back(std::make_unique<starting_instance>(
+                starting_instance{membership(opts, index + 1),
+                                  fleet_size_estimate(this->now)}));
+        }
+        for (auto& each : this->instances)
+            this->deliver(*each, each->members.start(this->now));
+    }
+
+    void advance()
+    {
+        this->now += tick;
+        for (auto& each : this->instances)
+        {
+            this->deliver(*each, each->members.handle_timer(this->now));
+            each->size.update(each->members.members().live_addresses().size(),
+                              this->now);
+        }
+    }
+
+    const fleet_size& size_at(std::size_t index) const
+    {
+        return this->instances[index]->size.size();
+    }
+
+    std::size_t size() const
+    {
+        return this->instances.size();
+    }
+
+private:
+    void deliver(starting_instance& from,
+                 std::vector<membership::exchange> exchanges)
+    {
+        for (const auto& each : exchanges)
+        {
+            auto next = std::optional(each);
+            while (next)
+            {
+                auto& to = *this->instances[std::stoul(next->address)];
+                const auto reply =
+                    to.members.handle_exchange(next->message, this->now);
+                next =
+                    from.members.handle_reply(next->address, reply, this->now);
+            }
+        }
+    }
+
+    time_point now = time_point{} + 1h;
+    std::vector<std::unique_ptr<starting_instance>> instances;
+};
+
+constexpr std::size_t fleet_sizes[] = {5, 61, 79, 80, 81, 195};
+
+}
+
+// Guards against shares that are computed for a part of the fleet: instances
+// that start together see each other one after the other, and a share for the
+// few seen first would exceed the common limit.
+TEST_CASE("a settled view has seen nearly all instances of a starting fleet")
+{
+    for (const auto instances : fleet_sizes)
+    {
+        CAPTURE(instances);
+        starting_fleet fleet(instances);
+        for (auto elapsed = 0ms; elapsed < 12s; elapsed += tick)
+        {
+            fleet.advance();
+            for (std::size_t index = 0; index < instances; ++index)
+            {
+                const auto& size = fleet.size_at(index);
+                if (size.view == fleet_view::settled)
+                    REQUIRE(size.instances * 10 >= instances * 9);
+            }
+        }
+        for (std::size_t index = 0; index < instances; ++index)
+            CHECK(fleet.size_at(index).view == fleet_view::settled);
+    }
+}
+
+// Guards against repeats beyond the fleet's limit while an instance can't know
+// how many others have started: every instance repeats whenever it may, and
+// their number is unknown to all of them.
+TEST_CASE("repeats of a fleet that starts at once stay within the ratio")
+{
+    constexpr fleet_repeat_limit limit{.ratio = 0.2, .slack = 430};
+    constexpr unsigned requests_each = 30;
+    for (const std::size_t instances : {5, 61, 80, 195, 1000, 4900})
+    {
+        CAPTURE(instances);
+        const auto share = repeat_share(limit, {.instances = 5});
+        std::size_t repeats = 0;
+        for (std::size_t index = 0; index < instances; ++index)
+        {
+            retry_budgets budgets(share);
+            for (unsigned request = 0; request < requests_each; ++request)
+            {
+                budgets.earn("s");
+                while (budgets.spend("s"))
+                    ++repeats;
+            }
+        }
+        const auto requests =
+            static_cast<double>(instances * std::size_t{requests_each});
+        CHECK(static_cast<double>(repeats) <= limit.ratio * requests);
+    }
+}
+
+// Guards against reserves that add up to more than the fleet's slack, and
+// against a reserve that stays withheld once the view has settled.
+TEST_CASE("the reserves of a settled fleet add up to its slack")
+{
+    struct scenario
+    {
+        std::size_t instances;
+        double slack;
+    };
+    for (const auto& [instances, slack] :
+         {scenario{9, 58}, scenario{61, 162}, scenario{89, 218},
+          scenario{195, 430}, scenario{4900, 10800}})
+    {
+        CAPTURE(instances);
+        const fleet_repeat_limit limit{.ratio = 0.2, .slack = slack};
+        retry_budgets budgets(repeat_share(limit, {}));
+        budgets.earn("s");
+        CHECK_FALSE(budgets.spend("s"));
+        const auto share =
+            repeat_share(limit, {instances, fleet_view::settled});
+        CHECK(share.reserve * static_cast<double>(instances) <= slack);
+        budgets.set_options(share);
+        CHECK(budgets.spend("s"));
+        CHECK(budgets.by_service().at("s").tokens() ==
+              static_cast<unsigned>(share.reserve - 1));
+    }
+}
+
+// Guards against more connections than the servers of a shard accept while the
+// fleet starts: the servers may still hold one connection of each process that
+// lost power.
+TEST_CASE("connections of a fleet that starts at once fit the upstreams")
+{
+    struct scenario
+    {
+        std::size_t instances, upstreams;
+        unsigned max_connections;
+    };
+    for (const auto& [instances, upstreams, max_connections] :
+         {scenario{9, 3, 31}, scenario{61, 3, 62}, scenario{89, 3, 76},
+          scenario{195, 3, 125}})
+    {
+        CAPTURE(instances);
+        upstream_group group;
+        for (std::size_t index = 0; index < upstreams; ++index)
+        {
+            auto entry = std::make_shared<registered_upstream>();
+            entry->spec = {.id = "i-" + std::to_string(index),
+                           .service = "s",
+                           .failure_domain = "z" + std::to_string(index)};
+            group.push_back(std::move(entry));
+        }
+        std::vector<unsigned> connections(upstreams, 0);
+        for (std::size_t index = 0; index < instances; ++index)
+        {
+            const upstream_subset subset(
+                group, {.instance = "10.0.0.1:" + std::to_string(index),
+                        .failure_domain = "z" + std::to_string(index % 3),
+                        .max_connections = max_connections});
+            const auto share = connection_share(
+                {.max_connections = max_connections, .slots = 3});
+            for (std::size_t each = 0; each < upstreams; ++each)
+                if (subset.contains(group[each]->spec.id))
+                    connections[each] += share;
+        }
+        CHECK(std::ranges::max(connections) <= max_connections);
+    }
+}
--- a/Tests/core/process/upstream_subset.cpp
+++ b/Tests/core/process/upstream_subset.cpp
@@ -34,16 +34,18 @@
         std::size_t instances;
         unsigned max_connections;
         std::size_t size;
+        fleet_view view = fleet_view::settled;
     };
     for (const auto& each :
          {scenario{9, 31, 3}, scenario{7, 26, 3}, scenario{69, 66, 1},
-          scenario{61, 62, 1}, scenario{40, 66, 2}, scenario{4900, 66, 1}})
+          scenario{61, 62, 1}, scenario{40, 66, 2}, scenario{4900, 66, 1},
+          scenario{195, 125, 1}, scenario{5, 110, 1, fleet_view::settling}})
     {
         CAPTURE(each.instances);
         const upstream_subset subset(make_group(),
                                      {.instance = "10.0.0.1:80",
                                       .failure_domain = "a",
-                                      .instances = each.instances,
+                                      .fleet = {each.instances, each.view},
                                       .max_connections = each.max_connections});
         CHECK(subset.size() == each.size);
         CHECK(subset.contains("i-1"));
@@ -63,7 +65,7 @@
         const upstream_subset::options values{
             .instance = "10.0.0." + std::to_string(number),
             .failure_domain = "d",
-            .instances = instances,
+            .fleet = {instances, fleet_view::settled},
             .max_connections = 100};
         const upstream_subset subset(group, values);
         for (const auto& each : group)
@@ -90,7 +92,7 @@
     leaving->leaving_since = time_point{};
     const upstream_subset::options values{.instance = "x",
                                           .failure_domain = "a",
-                                          .instances = 69,
+                                          .fleet = {69, fleet_view::settled},
                                           .max_connections = 66};
     CHECK(upstream_subset({leaving}, values).contains("i-1"));
     CHECK(upstream_subset({leaving, make_upstream("i-2", "b")}, values)
--- a/Tests/core/request/fan_out.cpp
+++ b/Tests/core/request/fan_out.cpp
@@ -29,7 +29,7 @@
 
     fan_out_fixture(unsigned services, unsigned replicas,
                     unsigned reserve = 100)
-        : budgets({.ratio = 0, .reserve = reserve})
+        : budgets({.ratio = 0, .reserve = static_cast<double>(reserve)})
     {
         for (unsigned service = 0; service < services; ++service)
         {
--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -111,7 +111,8 @@
         const auto subset_size = this->on_worker(
             [&]
             {
-                this->watcher->set_instance_count(each.instances);
+                this->watcher->set_fleet_size(
+                    {each.instances, fleet_view::settled});
                 return std::ranges::count_if(
                     this->state.upstreams.group("plain"),
                     [](const registered_upstream_ptr& upstream)
