core: Withhold hedges while most legs of a request have no answer

That doubled its own work and left no repeats for the next requests, which were denied up to 60 of 63. Change: a hedge is for a leg that is slower than the others. While more than a third of the legs (at least two) are open, hedges wait, for at most twice the hedge delay; they are sent when enough answers have arrived.

--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -59,6 +59,8 @@
 
 std::vector<fan_out::action> fan_out::start(time_point now)
 {
+    this->hedges_released_at =
+        now + this->config.hedge_delay * max_withheld_delays;
     for (std::size_t index = 0; index < this->legs.size(); ++index)
     {
         this->config.budgets->earn(this->legs[index].service);
@@ -86,6 +88,8 @@
         for (const auto other : current_leg.running)
             this->actions.emplace_back(release{other});
         current_leg.running.clear();
+        // This answer may be the one for which hedges were withheld.
+        this->send_hedges(now);
     }
     else
         this->retry_or_give_up(index, attempt, outcome, now);
@@ -240,7 +244,8 @@
 
 void fan_out::send_hedges(time_point now)
 {
-    if (this->config.retries != retry_policy::idempotent)
+    if (this->config.retries != retry_policy::idempotent ||
+        this->are_hedges_withheld(now))
         return;
     for (std::size_t index = 0; index < this->legs.size(); ++index)
     {
@@ -252,12 +257,26 @@
     }
 }
 
+bool fan_out::are_hedges_withheld(time_point now) const
+{
+    const auto legs_sent = static_cast<double>(this->legs.size());
+    const auto stragglers =
+        std::max(min_stragglers,
+                 static_cast<std::size_t>(legs_sent * max_straggler_ratio));
+    return now<this->hedges_released_at&& this->open_legs()> stragglers;
+}
+
+std::size_t fan_out::open_legs() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->legs, [this](const leg& each) { return this->is_open(each); }));
+}
+
 void fan_out::end_if_decided(time_point now)
 {
     const auto answered = static_cast<std::size_t>(std::ranges::count_if(
         this->legs, [](const leg& each) { return each.answer.has_value(); }));
-    const auto open = static_cast<std::size_t>(std::ranges::count_if(
-        this->legs, [this](const leg& each) { return this->is_open(each); }));
+    const auto open = this->open_legs();
     if (this->is_covered(answered) &&
         (open == 0 || now >= this->config.answer_by))
         this->end(fan_out_result::answered);
@@ -312,10 +331,13 @@
         if (this->config.answer_by > now)
             next = std::min(next, this->config.answer_by);
         const bool may_hedge = this->config.retries == retry_policy::idempotent;
+        const auto earliest_hedge = this->are_hedges_withheld(now)
+                                        ? this->hedges_released_at
+                                        : time_point::min();
         for (const auto& each : this->legs)
             if (may_hedge && this->is_open(each) &&
                 each.sends < this->config.max_attempts)
-                next = std::min(next, each.hedge_at);
+                next = std::min(next, std::max(each.hedge_at, earliest_hedge));
         this->actions.emplace_back(start_timer{next});
     }
     return std::exchange(this->actions, {});
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -125,6 +125,14 @@
 
     // A leg is given up after this many attempts that were never sent.
     static constexpr unsigned max_unsent_attempts = 4;
+    // A hedge helps a leg that is slower than the others. While a larger part
+    // of the legs is without an answer, the delay is this instance's own, and
+    // hedges would only add to it.
+    static constexpr double max_straggler_ratio = 1.0 / 3;
+    // With few legs, this many may be stragglers at the same time.
+    static constexpr std::size_t min_stragglers = 2;
+    // Hedges are withheld for at most this many times the hedge delay.
+    static constexpr unsigned max_withheld_delays = 2;
     // Each leg may be sent this many times per allowed upstream, because an
     // upstream that refuses some requests may accept the next one.
     static constexpr unsigned max_sends_per_upstream = 2;
@@ -189,6 +197,9 @@
     void retry_or_give_up(std::size_t index, attempt_id attempt,
                           attempt_outcome outcome, time_point now);
     void send_hedges(time_point now);
+    // True while so many legs are open that their upstreams can't all be slow.
+    bool are_hedges_withheld(time_point now) const;
+    std::size_t open_legs() const;
     // Ends the request when enough legs are answered, when too few can still
     // answer, or when the deadline has passed.
     void end_if_decided(time_point now);
@@ -200,6 +211,8 @@
 
     options config;
     std::vector<leg> legs;
+    // When hedges are no longer withheld, however many legs are open.
+    time_point hedges_released_at;
     struct attempt_record
     {
         std::size_t leg = 0;
--- a/Tests/core/request/fan_out.cpp
+++ b/Tests/core/request/fan_out.cpp
@@ -375,3 +375,49 @@
         CHECK(fixture.released.size() == 1);
     }
 }
+
+// Guards against hedging every leg when this instance itself is late, for
+// example because it has only a fraction of a core: on the large deployment, a
+// request to 63 shards was sent 126 times and left no repeats for the next
+// ones. Load pattern: a wide scatter from a small instance.
+TEST_CASE("hedges are withheld while most legs have no answer")
+{
+    struct scenario
+    {
+        unsigned legs, answered;
+        std::chrono::milliseconds elapsed;
+        std::size_t hedges;
+    };
+    for (const auto& each :
+         {scenario{63, 0, 30ms, 0}, scenario{63, 41, 30ms, 0},
+          scenario{63, 42, 30ms, 21}, scenario{63, 60, 30ms, 3},
+          scenario{63, 0, 60ms, 63}, scenario{10, 6, 30ms, 0},
+          scenario{10, 7, 30ms, 3}, scenario{3, 0, 30ms, 0},
+          scenario{3, 1, 30ms, 2}, scenario{1, 0, 30ms, 1}})
+    {
+        CAPTURE(each.legs);
+        CAPTURE(each.answered);
+        fan_out_fixture fixture(each.legs, 2);
+        fixture.run();
+        for (unsigned leg = 0; leg < each.answered; ++leg)
+            fixture.finish(leg, attempt_outcome::answered, 10ms);
+        fixture.fire_timer(each.elapsed);
+        CHECK(fixture.sends.size() == each.legs + each.hedges);
+    }
+}
+
+// Guards against stragglers that wait for the next timer although the answers
+// that were missing have arrived.
+TEST_CASE("withheld hedges are sent as soon as few legs are left")
+{
+    fan_out_fixture fixture(9, 2);
+    fixture.run();
+    fixture.fire_timer(30ms);
+    CHECK(fixture.sends.size() == 9);
+    CHECK(fixture.wake_at == start + 60ms);
+    for (unsigned leg = 0; leg < 5; ++leg)
+        fixture.finish(leg, attempt_outcome::answered, 35ms);
+    CHECK(fixture.sends.size() == 9);
+    fixture.finish(5, attempt_outcome::answered, 36ms);
+    CHECK(fixture.sends.size() == 12);
+}
