core: Keep the latency of unused upstreams at that of their group

Cause: the latency in an upstream's score halves each 5 s without a sample, down to 0. An instance of a large fleet sends one request in a few seconds, so that it went over to whichever upstream it had not used for longest, and opened a connection for a third of its sends. Change: the recovered latency does not fall below the lowest latency of the group. An upstream that was slow is still tried again.

--- a/Libraries/core/connection/upstream_choice.cpp
+++ b/Libraries/core/connection/upstream_choice.cpp
@@ -1,5 +1,6 @@
 #include "core/connection/upstream_choice.hpp"
 
+#include <algorithm>
 #include <tuple>
 
 namespace wisteriahatch
@@ -32,6 +33,19 @@
     }
 };
 
+// Returns the lowest smoothed latency of the group; 0 if none has a sample.
+duration lowest_latency(const upstream_group& group)
+{
+    auto lowest = duration::max();
+    for (const auto& each : group)
+    {
+        const auto latency = each->state->smoothed_latency();
+        if (latency > duration::zero())
+            lowest = std::min(lowest, latency);
+    }
+    return lowest == duration::max() ? duration::zero() : lowest;
+}
+
 }
 
 registered_upstream_ptr choose_upstream(const upstream_group& group,
@@ -39,6 +53,7 @@
                                         time_point now, std::mt19937_64& random)
 {
     std::uniform_real_distribution<double> jitter(1, 1 + max_score_jitter);
+    const auto typical_latency = lowest_latency(group);
     registered_upstream_ptr best;
     upstream_rank best_rank;
     for (const auto& each : group)
@@ -53,7 +68,8 @@
         const upstream_rank rank{
             .is_leaving = each->leaving_since.has_value(),
             .is_ejected = each->state->is_ejected(now),
-            .score = each->state->score(now) * jitter(random) + penalty};
+            .score = each->state->score(now, typical_latency) * jitter(random) +
+                     penalty};
         if (best && !(rank < best_rank))
             continue;
         best = each;
--- a/Libraries/core/connection/upstream_state.cpp
+++ b/Libraries/core/connection/upstream_state.cpp
@@ -193,7 +193,7 @@
            generation != this->versions_generation;
 }
 
-double upstream_state::score(time_point now) const
+double upstream_state::score(time_point now, duration typical_latency) const
 {
     using seconds = std::chrono::duration<double>;
     const std::int64_t observed = this->latency_nanoseconds;
@@ -209,7 +209,12 @@
     const double unanswered =
         since > 0 ? static_cast<double>(to_nanoseconds(now) - since) : 0;
     const double recovery = std::exp2(-unused / seconds(latency_half_life));
-    return std::max(latency * recovery, unanswered) *
+    const double typical =
+        observed > 0
+            ? std::min(latency,
+                       static_cast<double>(to_nanoseconds(typical_latency)))
+            : 0;
+    return std::max({latency * recovery, typical, unanswered}) *
            (this->in_flight() + 1.0) *
            (cold_start_factor - age * (cold_start_factor - 1)) *
            (1 + failure_weight * this->failures * recovery);
--- a/Libraries/core/connection/upstream_state.hpp
+++ b/Libraries/core/connection/upstream_state.hpp
@@ -97,7 +97,10 @@
     // flight + 1) x the cold start factor (4 falling to 1) x the failure
     // factor. The latency halves each latency_half_life without samples, and is
     // at least the time for which running attempts have had no answer.
-    double score(time_point now) const;
+    // It does not fall below `typical_latency`, so that a replica does not look
+    // fast only because it has not been used.
+    double score(time_point now,
+                 duration typical_latency = duration::zero()) const;
 
 private:
     void add_sample(duration latency, time_point now);
--- a/Tests/core/connection/upstream_choice.cpp
+++ b/Tests/core/connection/upstream_choice.cpp
@@ -107,3 +107,39 @@
     CHECK(choose_upstream({only}, "near", now, random) == nullptr);
     CHECK(choose_upstream({}, "near", now, random) == nullptr);
 }
+
+// Guards against instances that rotate over all upstreams of a service because
+// unused ones look faster with time: each change opens a new connection, which
+// a third of the sends did on the large deployment. Load pattern: one request
+// every few seconds from each of many instances.
+TEST_CASE("an upstream outside the subset is not tried because it was idle")
+{
+    struct scenario
+    {
+        const char* what;
+        duration latency_in_subset, latency_outside;
+        bool is_outside_chosen;
+    };
+    for (const auto& each :
+         {scenario{"equal", 10ms, 10ms, false},
+          scenario{"a little slower", 11ms, 10ms, false},
+          scenario{"slower than both penalties", 50ms, 10ms, true}})
+    {
+        CAPTURE(each.what);
+        const auto inside = make_upstream("inside", "near");
+        const auto outside = make_upstream("outside", "near");
+        outside->state->set_in_subset(false);
+        const auto later = now + 1min;
+        for (unsigned call = 0; call < 30; ++call)
+        {
+            inside->state->record_start(later);
+            inside->state->record_success(each.latency_in_subset, later);
+            outside->state->record_start(now);
+            outside->state->record_success(each.latency_outside, now);
+        }
+        std::mt19937_64 random(1);
+        for (unsigned round = 0; round < 20; ++round)
+            CHECK((choose_upstream({inside, outside}, "near", later, random) ==
+                   outside) == each.is_outside_chosen);
+    }
+}
