net: Bound the bytes that wait to be parsed

Cause: the users say that bytes that are no answer may come without end. Beast buffers a whole chunk header and a whole trailer before it parses them and does not limit their length, so that an upstream, the store, a peer or a caller that never ends one filled the memory until the deadline. A chunk extension without end from a caller is answered with 400.

--- a/Libraries/net/http_client.cpp
+++ b/Libraries/net/http_client.cpp
@@ -88,7 +88,7 @@
     if (failure)
         co_return make_exchange_error(server, failure);
 
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_unparsed_bytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(request.max_reply_bytes);
     co_await http::async_read(stream, buffer, parser, store_error(failure));
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -80,6 +80,8 @@
     message.header_limit(
         static_cast<std::uint32_t>(current_limits.max_header_bytes));
     message.body_limit(current_limits.max_body_bytes);
+    // The parser needs the whole head at once, too.
+    this->buffer.max_size(max_unparsed_bytes + current_limits.max_header_bytes);
     auto failure = co_await this->wait_for_request();
     // Counted from the first byte on, so that a shutdown also waits for a
     // request that has been read in part.
--- a/Libraries/net/upstream_connection.hpp
+++ b/Libraries/net/upstream_connection.hpp
@@ -64,7 +64,7 @@
     upstream_exchange make_mismatched_reply_failure() const;
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     tcp::endpoint endpoint;
     std::uint64_t opening_number;
     time_point last_activity_time{};
--- /dev/null
+++ b/Tests/net/endless_reply.cpp
@@ -0,0 +1,140 @@
+#include "net/loopback.hpp"
+#include "net/pool_fixture.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <doctest/doctest.h>
+#include <string>
+#include <thread>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Upper bound of what one connection is sent, so that the test ends when the
+// caller does not close it.
+constexpr std::size_t max_sent_bytes = std::size_t{64} * 1024 * 1024;
+// What a reply without end may make the caller accept, including the buffers of
+// the kernel at both ends.
+constexpr std::size_t max_accepted_bytes = std::size_t{16} * 1024 * 1024;
+
+// An upstream that answers each request with a prefix and then with the same
+// bytes again and again until the caller closes the connection.
+class endless_upstream
+{
+public:
+    endless_upstream(std::string reply_prefix, const std::string& pattern)
+        : prefix(std::move(reply_prefix))
+        , acceptor(this->context, any_loopback_port())
+    {
+        while (this->block.size() < 65536)
+            this->block += pattern;
+        this->thread = std::jthread([this] { this->serve(); });
+    }
+
+    ~endless_upstream()
+    {
+        error_code ignored;
+        this->is_stopping = true;
+        tcp::socket last(this->context);
+        last.connect(this->endpoint(), ignored);
+    }
+
+    tcp::endpoint endpoint() const
+    {
+        return this->acceptor.local_endpoint();
+    }
+
+    unsigned connections() const
+    {
+        return this->connection_count;
+    }
+
+    std::size_t largest_reply() const
+    {
+        return this->largest;
+    }
+
+private:
+    void serve()
+    {
+        for (;;)
+        {
+            tcp::socket socket(this->context);
+            error_code failure;
+            this->acceptor.accept(socket, failure);
+            if (this->is_stopping || failure)
+                return;
+            ++this->connection_count;
+            std::string request(4096, '\0');
+            socket.read_some(asio::buffer(request), failure);
+            std::size_t sent =
+                asio::write(socket, asio::buffer(this->prefix), failure);
+            while (!failure && sent < max_sent_bytes)
+                sent += asio::write(socket, asio::buffer(this->block), failure);
+            this->largest = std::max(this->largest.load(), sent);
+        }
+    }
+
+    std::string prefix;
+    std::string block;
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    std::atomic<bool> is_stopping{false};
+    std::atomic<unsigned> connection_count{0};
+    std::atomic<std::size_t> largest{0};
+    std::jthread thread;
+};
+
+}
+
+// Guards against an upstream that sends bytes without end until the caller
+// closes: the call must end as a failure, memory must stay bounded, and the
+// connection must not be used again.
+TEST_CASE_FIXTURE(pool_fixture, "a reply without end is cut off")
+{
+    struct scenario
+    {
+        const char* what;
+        std::string prefix;
+        std::string pattern;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& each : std::vector<scenario>{
+             {"no HTTP", "", "x"},
+             {"status line", "HTTP/1.1 200 ", "x"},
+             {"header name", head, "x"},
+             {"header value", head + "X: ", "x"},
+             {"header fields", head, "X: y\r\n"},
+             {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+             {"body of announced length",
+              head + "Content-Length: 100000000000\r\n\r\n", "x"},
+             {"body until the connection ends", head + "\r\n", "x"},
+             {"chunks", chunked, "4\r\nxxxx\r\n"},
+             {"chunk length", chunked, "0"},
+             {"chunk extension", chunked + "4;", "x"},
+             {"trailer value", chunked + "0\r\nX: ", "x"},
+             {"trailer fields", chunked + "0\r\n", "X: y\r\n"}})
+    {
+        CAPTURE(each.what);
+        endless_upstream server(each.prefix, each.pattern);
+        this->state = std::make_shared<upstream_state>(
+            "u", "zone", std::chrono::steady_clock::now());
+        this->pool->set_upstreams({{"u",
+                                    {.endpoint = server.endpoint(),
+                                     .connection_share = 1,
+                                     .state = this->state}}});
+        for (unsigned call = 1; call <= 2; ++call)
+        {
+            const auto outcome = this->run(make_call("/any"));
+            REQUIRE_FALSE(outcome.has_value());
+            CHECK(outcome.error().was_sent);
+            CHECK(outcome.error().kind != error_kind::upstream_timeout);
+            CHECK(server.connections() == call);
+        }
+        CHECK(this->state->failure_ratio() > 0);
+        CHECK(server.largest_reply() < max_accepted_bytes);
+    }
+}
--- a/Tests/net/http_server.cpp
+++ b/Tests/net/http_server.cpp
@@ -135,6 +135,9 @@
         {head + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + large +
              "\r\n0\r\n\r\n",
          413, "body_too_large"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n4;" +
+             std::string(std::size_t{256} * 1024, 'x'),
+         400, "malformed_request"},
         {"GET /throw HTTP/1.1\r\nConnection: close\r\n\r\n", 500, "internal"},
     };
     for (const auto& scenario : table)
