gateway: Replace a failed reader of the store by one successor

Cause: when the instance that watches the store for its failure domain was turned away, all others of the domain watched the store themselves for four seconds. Change: a module without network chooses the reader: the lowest live address, and its successors for as long as a reader is passed over after a failure. An instance asks the next one at once, and calls the store itself after two failed readers.

--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -93,12 +93,17 @@
 std::string peer_exchange::reader_address() const
 {
     const auto& own = this->members.members().self();
-    std::string lowest = own.address;
+    std::vector<std::string> live;
     for (const auto& member : this->members.members().members())
         if (member.state == member_state::alive &&
             member.failure_domain == own.failure_domain)
-            lowest = std::min(lowest, member.address);
-    return lowest == own.address ? "" : lowest;
+            live.push_back(member.address);
+    return this->readers.choose(own.address, std::move(live), clock_now());
+}
+
+void peer_exchange::record_reader_failure(const std::string& reader)
+{
+    this->readers.record_failure(reader, clock_now());
 }
 
 std::size_t peer_exchange::live_members() const
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "core/process/fleet_size_estimate.hpp"
 #include "core/process/membership.hpp"
+#include "core/process/reader_selection.hpp"
 #include "gateway_state.hpp"
 #include "net/http_server.hpp"
 #include "peers/peer_client.hpp"
@@ -53,9 +54,11 @@
     boost::asio::awaitable<result<std::string>>
     call(std::string address, std::string method, std::string parameters);
     // Returns the address of the instance that watches the source for this
-    // failure domain: the alive one with the lowest address. Empty when it is
-    // this instance, as far as this instance knows the others.
+    // failure domain; see reader_selection. Empty when it is this instance, as
+    // far as this instance knows the others.
     std::string reader_address() const;
+    // Records that a reader did not answer or could not reach the source.
+    void record_reader_failure(const std::string& reader);
     // Members that are alive or suspect, this instance included.
     std::size_t live_members() const;
     // Announces that this instance is shutting down.
@@ -84,6 +87,7 @@
     rpc_server methods;
     time_point last_snapshot{};
     fleet_size_estimate fleet;
+    reader_selection readers;
 };
 
 }
--- a/Programs/gateway/peer_source.cpp
+++ b/Programs/gateway/peer_source.cpp
@@ -71,9 +71,11 @@
     const auto parameters = encode_routing_position(position);
     const auto answer =
         co_await this->peers->call(reader, "routing.changes", parameters);
-    if (!answer)
-        co_return answer.error();
-    co_return decode_changes(answer.value());
+    auto changes = answer ? decode_changes(answer.value())
+                          : result<routing_changes>(answer.error());
+    if (!changes || changes.value().is_history_lost)
+        this->peers->record_reader_failure(reader);
+    co_return changes;
 }
 
 }
--- a/Programs/gateway/peer_source.hpp
+++ b/Programs/gateway/peer_source.hpp
@@ -25,7 +25,8 @@
     peer_source(peer_exchange& peers, const source_watcher& watcher);
 
     boost::asio::awaitable<result<routing_snapshot>> read() override;
-    // Returns without waiting for changes; `wait` is ignored.
+    // Returns without waiting for changes; `wait` is ignored. After a failure
+    // the next call asks another instance.
     boost::asio::awaitable<result<routing_changes>>
     watch(std::uint64_t revision, std::chrono::milliseconds wait) override;
 
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -1,6 +1,7 @@
 #include "source_watcher.hpp"
 
 #include "core/process/connection_share.hpp"
+#include "core/process/reader_selection.hpp"
 #include "core/process/upstream_subset.hpp"
 #include "net/http_client.hpp"
 #include "telemetry/log.hpp"
@@ -191,30 +192,32 @@
 
 asio::awaitable<bool> source_watcher::ask_peer()
 {
-    if (this->config.peer == nullptr || !this->has_snapshot ||
-        clock_now() < this->peer_backoff_end)
+    if (this->config.peer == nullptr || !this->has_snapshot)
         co_return false;
-    const auto changes = co_await this->config.peer->watch(
-        this->revision, std::chrono::milliseconds(0));
-    // No request was sent, so there is no reason to back off.
-    const bool has_no_peer =
-        !changes && changes.error().kind == error_kind::no_configuration;
-    if (has_no_peer)
-        co_return false;
-    if (!changes || changes.value().is_history_lost)
+    // The peer source chooses another reader after each failure.
+    for (std::size_t reader = 0; reader <= reader_selection::max_failed_readers;
+         ++reader)
     {
-        this->peer_backoff_end = clock_now() + peer_failure_backoff;
+        const auto changes = co_await this->config.peer->watch(
+            this->revision, std::chrono::milliseconds(0));
+        if (changes && !changes.value().is_history_lost)
+        {
+            this->has_reachable_source = true;
+            this->apply_changes(changes.value(), "peer");
+            co_return true;
+        }
+        const bool has_no_reader =
+            !changes && changes.error().kind == error_kind::no_configuration;
+        if (has_no_reader)
+            co_return false;
         log_event(log_level::warning, "reader_lost",
                   {{"reason",
                     changes ? "the changes of the peer do not reach back to "
                               "revision " +
                                   std::to_string(this->revision)
                             : changes.error().message}});
-        co_return false;
     }
-    this->has_reachable_source = true;
-    this->apply_changes(changes.value(), "peer");
-    co_return true;
+    co_return false;
 }
 
 void source_watcher::apply_changes(const routing_changes& changes,
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -53,9 +53,6 @@
     static constexpr std::chrono::milliseconds change_batch_interval{700};
     // Time between two requests to a peer.
     static constexpr std::chrono::milliseconds peer_poll_interval{400};
-    // After a failed request to a peer, the source itself is watched for this
-    // long.
-    static constexpr std::chrono::seconds peer_failure_backoff{4};
     // Failed calls to the source are retried with exponential backoff between
     // these delays.
     static constexpr std::chrono::milliseconds min_retry_delay{100};
@@ -91,7 +88,7 @@
     void adopt_routes(const route_table_ptr& routes, const std::string& origin);
     boost::asio::awaitable<void> run();
     // Applies the changes that a peer knows. Returns false when there is no
-    // peer to ask or the request failed.
+    // peer to ask or none of those asked could answer.
     boost::asio::awaitable<bool> ask_peer();
     // Each of these calls the source, for a snapshot or for changes. Returns
     // whether the call succeeded.
@@ -117,8 +114,6 @@
     bool has_snapshot = false;
     bool has_reachable_source = false;
     bool has_new_changes = false;
-    // No peer is asked before this time.
-    time_point peer_backoff_end{};
     routing_change_log change_log;
     // Instances that share the upstreams' connections.
     fleet_size fleet;
