core: Give a sudden slowdown of an upstream a higher weight

Cause: on the large deployment an instance asks each upstream once in two seconds. One answer in 150 ms instead of 15 raised the smoothed latency to 42 ms only, less than the penalty of 30 ms for another failure domain allows, so that an instance stayed with a slow upstream of its own domain for most of the eight seconds that it was slow. Change: a sample of at least three times the smoothed latency has a weight of 0.6 instead of 0.2.

--- a/Libraries/core/connection/upstream_state.cpp
+++ b/Libraries/core/connection/upstream_state.cpp
@@ -228,13 +228,16 @@
     std::int64_t smoothed = 0;
     do
     {
+        const auto previous = static_cast<double>(old);
+        const bool is_slowdown =
+            static_cast<double>(sample) >= previous * slowdown_factor;
+        const double weight = is_slowdown ? slowdown_weight : sample_weight;
         smoothed =
             old == 0
                 ? sample
                 : std::max<std::int64_t>(
-                      1, std::llround(static_cast<double>(old) +
-                                      sample_weight *
-                                          static_cast<double>(sample - old)));
+                      1, std::llround(previous + weight * static_cast<double>(
+                                                              sample - old)));
     } while (!this->latency_nanoseconds.compare_exchange_weak(old, smoothed));
     this->last_sample_nanoseconds = to_nanoseconds(now);
 }
--- a/Libraries/core/connection/upstream_state.hpp
+++ b/Libraries/core/connection/upstream_state.hpp
@@ -34,6 +34,11 @@
     static constexpr std::size_t max_versions = 8;
     // Weight of a new sample in the smoothed latency and failure ratio.
     static constexpr double sample_weight = 0.2;
+    // A sample at least this many times the smoothed latency is a sudden
+    // slowdown and gets a higher weight: an instance of a large fleet has one
+    // sample of an upstream in several seconds.
+    static constexpr double slowdown_factor = 3;
+    static constexpr double slowdown_weight = 0.6;
     // The latency in the score halves each time this passes without a sample,
     // so that a replica that was slow is tried again.
     static constexpr std::chrono::seconds latency_half_life{5};
--- a/Tests/core/connection/upstream_state.cpp
+++ b/Tests/core/connection/upstream_state.cpp
@@ -1,5 +1,7 @@
 #include "core/connection/upstream_state.hpp"
 
+#include "core/connection/upstream_choice.hpp"
+
 #include <atomic>
 #include <doctest/doctest.h>
 #include <latch>
@@ -155,3 +157,35 @@
     CHECK(lost == 0);
     CHECK(mixed == 0);
 }
+
+// Guards against an instance that sends several requests to an upstream in its
+// own failure domain that has become ten times slower, because the first slow
+// answers do not outweigh the penalty of other domains. Load pattern: a sixth
+// of the servers is slow for eight seconds, and each instance asks each of them
+// once in two seconds.
+TEST_CASE("one slow answer outweighs another failure domain's penalty")
+{
+    struct scenario
+    {
+        milliseconds usual, sample;
+        bool is_avoided;
+    };
+    for (const auto& each :
+         {scenario{milliseconds(15), milliseconds(150), true},
+          scenario{milliseconds(15), milliseconds(120), true},
+          scenario{milliseconds(15), milliseconds(40), false},
+          scenario{milliseconds(15), milliseconds(5), false}})
+    {
+        CAPTURE(each.sample.count());
+        upstream_state near("a", "d", start);
+        upstream_state far("b", "e", start);
+        for (auto* replica : {&near, &far})
+            for (unsigned answer = 0; answer < 20; ++answer)
+                replica->record_success(each.usual, start + seconds(20));
+        near.record_success(each.sample, start + seconds(20));
+        const double penalty =
+            std::chrono::nanoseconds(other_domain_penalty).count();
+        CHECK((near.score(start + seconds(20)) >
+               far.score(start + seconds(20)) + penalty) == each.is_avoided);
+    }
+}
