--- a/Libraries/core/process/connection_share.hpp
+++ b/Libraries/core/process/connection_share.hpp
@@ -22,8 +22,8 @@
 
 // Returns how many connections one instance may open to an upstream: at least
 // 1, and at most one more than the upstream's slots, because more are of no
-// use. While the view of the fleet is settling it is 1, which holds in a fleet
-// of any size that the upstream has room for.
+// use. Returns 1 while the view of the fleet is settling, because any larger
+// share might be too large for the number of instances that have started.
 unsigned connection_share(const connection_bounds& bounds);
 
 }
--- a/Libraries/core/process/reader_selection.hpp
+++ b/Libraries/core/process/reader_selection.hpp
@@ -14,9 +14,8 @@
 
 // Chooses which instance of a failure domain reads the configuration source for
 // the others: the one with the lowest address, and its successors when it does
-// not answer or can't reach the source. All instances agree without messages
-// of their own, and only the first ones call the source. Does no I/O and reads
-// no clock.
+// not answer or can't reach the source. Instances with the same members agree
+// on the reader without further messages. Does no I/O and reads no clock.
 class reader_selection
 {
 public:
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
 #include <utility>
+#include <vector>
 
 namespace wisteriahatch
 {
