core, gateway: Grant the reserve of repeats a window after the start

The reserve is filled when the view of the fleet settles, 3 to 6 s after a start. The process before may have spent its own share just before it lost power, so that one window held twice the slack of the whole fleet.

--- a/Libraries/core/process/retry_budgets.cpp
+++ b/Libraries/core/process/retry_budgets.cpp
@@ -61,7 +61,7 @@
 }
 
 retry_budgets::options repeat_share(const fleet_repeat_limit& limit,
-                                    const fleet_size& fleet)
+                                    const fleet_size& fleet, duration uptime)
 {
     // A token is spent as a whole, so a smaller reserve would allow no repeat.
     constexpr double min_reserve = 1;
@@ -73,7 +73,10 @@
     const double reserve =
         limit.slack * usable_repeat_ratio /
         static_cast<double>(std::max<std::size_t>(1, fleet.instances));
-    return {.ratio = ratio, .reserve = std::max(min_reserve, reserve)};
+    return {.ratio = ratio,
+            .reserve = std::max(min_reserve, reserve),
+            .grant = uptime < limit.window ? reserve_grant::withheld
+                                           : reserve_grant::granted};
 }
 
 }
--- a/Libraries/core/process/retry_budgets.hpp
+++ b/Libraries/core/process/retry_budgets.hpp
@@ -1,9 +1,11 @@
 #ifndef WISTERIAHATCH_CORE_PROCESS_RETRY_BUDGETS_HPP
 #define WISTERIAHATCH_CORE_PROCESS_RETRY_BUDGETS_HPP
 
+#include "core/base/time.hpp"
 #include "core/process/fleet_size_estimate.hpp"
 #include "core/process/hedge_budget.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -64,17 +66,19 @@
     double ratio = 0.1;
     // Repeats beyond the ratio.
     double slack = 10;
+    duration window = std::chrono::seconds(10);
 };
 
 // Part of the tolerated repeats that is used, because instances measure
 // different loads.
 inline constexpr double usable_repeat_ratio = 0.9;
 
-// Returns one instance's share of the limit. While the view of the fleet is
-// settling the reserve is withheld, so that the repeats of a fleet of any size
-// stay within the ratio.
+// Returns the share of the limit of one instance that was started `uptime` ago.
+// The reserve is withheld while the view of the fleet is settling, so that the
+// repeats of a fleet of any size stay within the ratio, and for a window after
+// the start, in which the previous process of this instance may have spent it.
 retry_budgets::options repeat_share(const fleet_repeat_limit& limit,
-                                    const fleet_size& fleet);
+                                    const fleet_size& fleet, duration uptime);
 
 }
 
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -61,10 +61,13 @@
 }
 
 retry_budgets::options make_budget_options(const gateway_settings& values,
-                                           const fleet_size& fleet)
+                                           const fleet_size& fleet,
+                                           time_point started)
 {
-    return repeat_share(
-        {.ratio = values.repeat_ratio, .slack = values.repeat_slack}, fleet);
+    return repeat_share({.ratio = values.repeat_ratio,
+                         .slack = values.repeat_slack,
+                         .window = values.repeat_window},
+                        fleet, std::chrono::steady_clock::now() - started);
 }
 
 std::uint64_t random_seed();
@@ -100,10 +103,11 @@
     , settings(std::move(initial_settings))
     , source(std::move(origin))
     , dialect(make_forwarding_dialect(names))
+    , started(std::chrono::steady_clock::now())
     , state{.routes = nullptr,
             .upstreams = {},
-            .budgets =
-                retry_budgets(make_budget_options(this->settings, this->fleet)),
+            .budgets = retry_budgets(make_budget_options(
+                this->settings, this->fleet, this->started)),
             .split = {},
             .random = std::mt19937_64(random_seed())}
     , upstreams(this->workers, make_pool_options(this->dialect))
@@ -140,6 +144,7 @@
              [this](duration length) { this->handle_pause(length); })
     , reload_signal(this->workers.at(0), SIGHUP)
     , reload_timer(this->workers.at(0))
+    , reserve_timer(this->workers.at(0))
     , settings_write_time(last_write_time_of(this->settings_path))
     , shutdown_grace(this->settings.shutdown_grace)
 {
@@ -182,6 +187,7 @@
                    this->watcher.start();
                    this->pauses.start();
                    this->watch_settings();
+                   this->arm_reserve_timer();
                    if (this->peer_server)
                        this->peers.start();
                });
@@ -302,6 +308,7 @@
     this->shutdown_grace = changed.value().shutdown_grace;
     this->settings.repeat_ratio = changed.value().repeat_ratio;
     this->settings.repeat_slack = changed.value().repeat_slack;
+    this->settings.repeat_window = changed.value().repeat_window;
     this->set_fleet_size(this->fleet);
     start_logging(program_name, changed.value().log_level);
     log_event(
@@ -327,7 +334,8 @@
 {
     const bool is_settled = size.view == fleet_view::settled;
     this->fleet = size;
-    const auto budgets = make_budget_options(this->settings, size);
+    const auto budgets =
+        make_budget_options(this->settings, size, this->started);
     this->state.budgets.set_options(budgets);
     this->watcher.set_fleet_size(size);
     log_event(log_level::info, "shares_changed",
@@ -336,6 +344,18 @@
                {"repeat_reserve", std::to_string(budgets.reserve)}});
 }
 
+void gateway_process::arm_reserve_timer()
+{
+    this->reserve_timer.expires_at(this->started +
+                                   this->settings.repeat_window);
+    this->reserve_timer.async_wait(
+        [this](boost::system::error_code failure)
+        {
+            if (!failure)
+                this->set_fleet_size(this->fleet);
+        });
+}
+
 asio::awaitable<http_reply> gateway_process::answer_peer(http_request request)
 {
     http_reply reply;
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -58,6 +58,8 @@
     // Divides connections to upstreams and the repeat budget among the
     // instances of the fleet.
     void set_fleet_size(const fleet_size& size);
+    // Grants the reserve of repeats once a window has passed since the start.
+    void arm_reserve_timer();
     void drain();
 
     std::string settings_path;
@@ -67,6 +69,7 @@
     std::shared_ptr<const upstream_dialect> dialect;
     // One thread: an instance has a fraction of a core.
     worker_pool workers{1};
+    time_point started;
     fleet_size fleet;
     gateway_state state;
     upstream_pool upstreams;
@@ -83,6 +86,7 @@
     pause_monitor pauses;
     boost::asio::signal_set reload_signal;
     boost::asio::steady_timer reload_timer;
+    boost::asio::steady_timer reserve_timer;
     std::filesystem::file_time_type settings_write_time;
     std::atomic<std::chrono::milliseconds> shutdown_grace;
     std::atomic<bool> is_draining{false};
--- a/Programs/gateway/settings.cpp
+++ b/Programs/gateway/settings.cpp
@@ -29,14 +29,14 @@
     return boost::outcome_v2::success();
 }
 
-result<void> read_grace(gateway_settings& values, const std::string& text)
+template <std::chrono::milliseconds gateway_settings::*Member>
+result<void> read_seconds(gateway_settings& values, const std::string& text)
 {
     double seconds = 0;
     if (!boost::conversion::try_lexical_convert(text, seconds) || seconds <= 0)
         return invalid_setting("write a positive number of seconds");
-    values.shutdown_grace =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::duration<double>(seconds));
+    values.*Member = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(seconds));
     return boost::outcome_v2::success();
 }
 
@@ -77,11 +77,14 @@
     key_reader{
         "store", "address", presence::required,
         read_address<&gateway_settings::store_address, gateway_settings>},
-    key_reader{"shutdown", "grace_s", presence::optional, read_grace},
+    key_reader{"shutdown", "grace_s", presence::optional,
+               read_seconds<&gateway_settings::shutdown_grace>},
     key_reader{"repeats", "ratio", presence::optional,
                read_number<&gateway_settings::repeat_ratio>},
     key_reader{"repeats", "slack", presence::optional,
                read_number<&gateway_settings::repeat_slack>},
+    key_reader{"repeats", "window_s", presence::optional,
+               read_seconds<&gateway_settings::repeat_window>},
     key_reader{"log", "level", presence::optional,
                read_text<&gateway_settings::log_level, gateway_settings>},
 };
--- a/Programs/gateway/settings.hpp
+++ b/Programs/gateway/settings.hpp
@@ -34,6 +34,8 @@
     // Repeats beyond the ratio that a service tolerates in a window, over all
     // instances.
     double repeat_slack = 10;
+    // Length of the windows in which a service's repeats are counted.
+    std::chrono::milliseconds repeat_window{10000};
     std::string log_level = "info";
 };
 
--- a/Tests/core/process/fleet_start.cpp
+++ b/Tests/core/process/fleet_start.cpp
@@ -136,7 +136,7 @@
     for (const std::size_t instances : {5, 61, 80, 195, 1000, 4900})
     {
         CAPTURE(instances);
-        const auto share = repeat_share(limit, {.instances = 5});
+        const auto share = repeat_share(limit, {.instances = 5}, 1min);
         std::size_t repeats = 0;
         for (std::size_t index = 0; index < instances; ++index)
         {
@@ -155,7 +155,7 @@
 }
 
 // Guards against reserves that add up to more than the fleet's slack, and
-// against a reserve that stays withheld once the view has settled.
+// against a reserve that stays withheld.
 TEST_CASE("the reserves of a settled fleet add up to its slack")
 {
     struct scenario
@@ -169,11 +169,11 @@
     {
         CAPTURE(instances);
         const fleet_repeat_limit limit{.ratio = 0.2, .slack = slack};
-        retry_budgets budgets(repeat_share(limit, {}));
+        retry_budgets budgets(repeat_share(limit, {}, 0s));
         budgets.earn("s");
         CHECK_FALSE(budgets.spend("s"));
         const auto share =
-            repeat_share(limit, {instances, fleet_view::settled});
+            repeat_share(limit, {instances, fleet_view::settled}, limit.window);
         CHECK(share.reserve * static_cast<double>(instances) <= slack);
         budgets.set_options(share);
         CHECK(budgets.spend("s"));
@@ -182,6 +182,48 @@
     }
 }
 
+// Guards against a reserve that is spent twice in one window: by a process that
+// loses power, and by its successor, which knows nothing of it. Load pattern: a
+// shard without a sound server before and after all processes lose power.
+TEST_CASE("a restart within a window does not renew the reserve")
+{
+    struct scenario
+    {
+        duration downtime;
+        duration view_settles_after;
+    };
+    constexpr double slack = 58;
+    constexpr std::size_t instances = 9;
+    const fleet_repeat_limit limit{.ratio = 0.2, .slack = slack};
+    for (const auto& each :
+         {scenario{0s, 3s}, scenario{1700ms, 4s}, scenario{0s, 10s}})
+    {
+        double repeats = 0;
+        const auto use = [&](retry_budgets& budgets)
+        {
+            while (budgets.spend("s"))
+                repeats += instances;
+        };
+        const fleet_size settled{instances, fleet_view::settled};
+        retry_budgets before(repeat_share(limit, settled, 1min));
+        before.earn("s");
+        use(before);
+        retry_budgets after(repeat_share(limit, {}, 0s));
+        double requests = instances;
+        // The window that begins with the last repeats before the restart.
+        for (auto uptime = duration(0s); uptime + each.downtime < limit.window;
+             uptime += 500ms)
+        {
+            if (uptime >= each.view_settles_after)
+                after.set_options(repeat_share(limit, settled, uptime));
+            after.earn("s");
+            requests += instances;
+            use(after);
+        }
+        CHECK(repeats <= limit.ratio * requests + slack);
+    }
+}
+
 // Guards against more connections than the servers of a shard accept while the
 // fleet starts: the servers may still hold one connection of each process that
 // lost power.
--- a/Tests/gateway/settings.cpp
+++ b/Tests/gateway/settings.cpp
@@ -72,7 +72,8 @@
              "metrics_address = 127.0.0.1:5\n"
              "[peers]\naddress = 127.0.0.1:6\nseeds = 127.0.0.1:7,127.0.0.1:8\n"
              "[store]\naddress = 127.0.0.1:3\n[shutdown]\ngrace_s = 2.5\n"
-             "[repeats]\nratio = 0.25\nslack = 58\n[log]\nlevel = warning\n");
+             "[repeats]\nratio = 0.25\nslack = 58\nwindow_s = "
+             "7.5\n[log]\nlevel = warning\n");
     REQUIRE(values);
     const auto& read_values = values.value();
     CHECK(read_values.name == "n");
@@ -87,5 +88,6 @@
     CHECK(read_values.shutdown_grace == 2500ms);
     CHECK(read_values.repeat_ratio == 0.25);
     CHECK(read_values.repeat_slack == 58);
+    CHECK(read_values.repeat_window == 7500ms);
     CHECK(read_values.log_level == "warning");
 }
