--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -259,11 +259,12 @@
 
 bool fan_out::are_hedges_withheld(time_point now) const
 {
-    const auto legs_sent = static_cast<double>(this->legs.size());
-    const auto stragglers =
+    const auto leg_count = static_cast<double>(this->legs.size());
+    const auto max_stragglers =
         std::max(min_stragglers,
-                 static_cast<std::size_t>(legs_sent * max_straggler_ratio));
-    return now<this->hedges_released_at&& this->open_legs()> stragglers;
+                 static_cast<std::size_t>(leg_count * max_straggler_ratio));
+    const bool is_limited = now < this->hedges_released_at;
+    return is_limited && this->open_legs() > max_stragglers;
 }
 
 std::size_t fan_out::open_legs() const
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -197,7 +197,7 @@
     void retry_or_give_up(std::size_t index, attempt_id attempt,
                           attempt_outcome outcome, time_point now);
     void send_hedges(time_point now);
-    // True while so many legs are open that their upstreams can't all be slow.
+    // True while more legs are open than can be stragglers.
     bool are_hedges_withheld(time_point now) const;
     std::size_t open_legs() const;
     // Ends the request when enough legs are answered, when too few can still
