core: Divide connections among an assumed fleet while its size is unknown

A share of one connection until the view had settled limited an instance that had just started to one request at a time an upstream, also where 800 connections are shared by two instances. Change: while the view is settling, connections are divided among 200 instances, or those seen if they are more; at least one. Ruled out: load; the requests waited for connections, as the log shows.

--- a/Libraries/core/process/connection_share.cpp
+++ b/Libraries/core/process/connection_share.cpp
@@ -7,9 +7,10 @@
 
 unsigned connection_share(const connection_bounds& bounds)
 {
-    if (bounds.fleet.view == fleet_view::settling)
-        return 1;
-    const auto instances = std::max<std::size_t>(1, bounds.fleet.instances);
+    const auto min_instances = bounds.fleet.view == fleet_view::settling
+                                   ? assumed_instances
+                                   : std::size_t{1};
+    const auto instances = std::max(min_instances, bounds.fleet.instances);
     const double share = usable_connection_ratio * bounds.max_connections /
                          static_cast<double>(instances);
     return std::clamp(static_cast<unsigned>(share), 1U, bounds.slots + 1);
--- a/Libraries/core/process/connection_share.hpp
+++ b/Libraries/core/process/connection_share.hpp
@@ -9,6 +9,11 @@
 // Fraction of an upstream's connections that all instances together may use.
 inline constexpr double usable_connection_ratio = 0.65;
 
+// Instances that are assumed while the view of the fleet is settling, unless
+// more are seen. A restarted instance of a small fleet must not wait for its
+// view where an upstream has connections to spare.
+inline constexpr std::size_t assumed_instances = 200;
+
 // Limits that apply to the connections of one instance to an upstream.
 struct connection_bounds
 {
@@ -22,8 +27,7 @@
 
 // Returns how many connections one instance may open to an upstream: at least
 // 1, and at most one more than the upstream's slots, because more are of no
-// use. Returns 1 while the view of the fleet is settling, because any larger
-// share might be too large for the number of instances that have started.
+// use.
 unsigned connection_share(const connection_bounds& bounds);
 
 }
--- a/Tests/core/process/connection_share.cpp
+++ b/Tests/core/process/connection_share.cpp
@@ -21,7 +21,9 @@
           scenario{66, 4, 69, 1}, scenario{31, 3, 80, 1}, scenario{31, 3, 0, 4},
           scenario{0, 0, 9, 1}, scenario{800, 0, 9, 1},
           scenario{125, 3, 195, 1},
-          scenario{110, 2, 9, 1, fleet_view::settling}})
+          scenario{110, 2, 9, 1, fleet_view::settling},
+          scenario{800, 3, 2, 2, fleet_view::settling},
+          scenario{800, 3, 900, 1, fleet_view::settling}})
     {
         CAPTURE(each.max_connections);
         CAPTURE(each.instances);
--- a/Tests/core/process/fleet_start.cpp
+++ b/Tests/core/process/fleet_start.cpp
@@ -236,7 +236,7 @@
     };
     for (const auto& [instances, upstreams, max_connections] :
          {scenario{9, 3, 31}, scenario{61, 3, 62}, scenario{89, 3, 76},
-          scenario{195, 3, 125}})
+          scenario{195, 3, 125}, scenario{195, 12, 1200}})
     {
         CAPTURE(instances);
         upstream_group group;
