core, gateway: Log rate limits that upstreams state

The forwarding dialect reads the header, upstream_rate_limits counts the sends to each limited upstream by kind, and the gateway logs changes and use. No send is decided differently.

--- a/Libraries/net/forwarding_dialect.cpp
+++ b/Libraries/net/forwarding_dialect.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cmath>
 #include <string_view>
 #include <utility>
 
@@ -41,6 +42,18 @@
     return static_cast<double>(*running + *waiting) / *slots;
 }
 
+// Parses a decimal number of requests a second.
+std::optional<double> read_rate(std::string_view text)
+{
+    double rate = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, rate);
+    if (parsed.ec != std::errc() || parsed.ptr != end || rate < 0 ||
+        !std::isfinite(rate))
+        return std::nullopt;
+    return rate;
+}
+
 class forwarding_dialect : public upstream_dialect
 {
 public:
@@ -88,6 +101,27 @@
         return reply.status == status_misdirected;
     }
 
+    // A refusal without the header may come from a queue in front of the
+    // upstream, and a reply without a signature from another server; neither
+    // shows that the limit has ended.
+    std::optional<rate_limit_statement>
+    read_rate_limit(const upstream_reply& reply) const override
+    {
+        if (this->is_misdirected(reply))
+            return std::nullopt;
+        if (const auto text =
+                find_header(reply.headers, this->names.rate_limit))
+        {
+            const auto rate = read_rate(*text);
+            return rate ? std::optional(rate_limit_statement{rate})
+                        : std::nullopt;
+        }
+        if (this->is_refusal(reply) ||
+            !find_header(reply.headers, this->names.signature))
+            return std::nullopt;
+        return rate_limit_statement{};
+    }
+
 private:
     forwarding_header_names names;
 };
--- a/Libraries/net/forwarding_header_names.hpp
+++ b/Libraries/net/forwarding_header_names.hpp
@@ -29,6 +29,9 @@
     // Load of an upstream as "RUNNING,WAITING,SLOTS": requests being run,
     // requests waiting, and requests that can run at once.
     std::string load = "X-Load";
+    // Requests a second that an upstream takes from all instances together, as
+    // a decimal number. Absent when it has no limit.
+    std::string rate_limit = "X-Rate-Limit";
 };
 
 }
--- a/Libraries/net/upstream_dialect.cpp
+++ b/Libraries/net/upstream_dialect.cpp
@@ -124,6 +124,12 @@
 
 }
 
+std::optional<rate_limit_statement>
+upstream_dialect::read_rate_limit(const upstream_reply&) const
+{
+    return std::nullopt;
+}
+
 std::shared_ptr<const upstream_dialect> make_json_dialect()
 {
     return std::make_shared<json_dialect>();
--- a/Libraries/net/upstream_dialect.hpp
+++ b/Libraries/net/upstream_dialect.hpp
@@ -24,6 +24,14 @@
     std::optional<std::vector<index_version>> versions;
 };
 
+// What a reply says about the rate of requests that its upstream takes.
+struct rate_limit_statement
+{
+    // Requests a second from all instances together; empty when the upstream
+    // has no limit.
+    std::optional<double> per_second;
+};
+
 // Defines which headers one kind of upstream expects in requests, and how its
 // replies report its state.
 class upstream_dialect
@@ -43,6 +51,9 @@
     virtual bool is_refusal(const upstream_reply& reply) const = 0;
     // True when the reply came from a different upstream than the one called.
     virtual bool is_misdirected(const upstream_reply& reply) const = 0;
+    // Empty when the reply says nothing about a limit.
+    virtual std::optional<rate_limit_statement>
+    read_rate_limit(const upstream_reply& reply) const;
 };
 
 // Returns the dialect of this project's own upstreams: JSON bodies that carry
--- a/Libraries/telemetry/forwarding_metrics.cpp
+++ b/Libraries/telemetry/forwarding_metrics.cpp
@@ -83,6 +83,9 @@
     prometheus::Gauge& running_attempts =
         make_gauge(registry, "wisteriahatch_running_attempts",
                    "Attempts that wait for a connection or an answer.");
+    prometheus::Gauge& limited_upstreams =
+        make_gauge(registry, "wisteriahatch_upstreams_limited",
+                   "Upstreams that state a limit on their rate of requests.");
     instance_gauges instance{registry};
     prometheus::Gauge& dropped_lines =
         make_gauge(registry, "wisteriahatch_log_lines_dropped",
@@ -162,6 +165,11 @@
     this->state->running_attempts.Set(count);
 }
 
+void forwarding_metrics::set_limited_upstreams(double count)
+{
+    this->state->limited_upstreams.Set(count);
+}
+
 void forwarding_metrics::set_dropped_log_lines(double count)
 {
     this->state->dropped_lines.Set(count);
--- a/Libraries/telemetry/forwarding_metrics.hpp
+++ b/Libraries/telemetry/forwarding_metrics.hpp
@@ -44,6 +44,8 @@
     void set_ejected_upstreams(double count);
     // Attempts that wait for a connection or an answer.
     void set_running_attempts(double count);
+    // Upstreams that state a limit on their rate of requests.
+    void set_limited_upstreams(double count);
     void set_dropped_log_lines(double count);
 
     // Returns the gauges that every instance exports.
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -110,18 +110,20 @@
 {
     const auto& route = *accepted.route;
     auto plan = this->make_plan(accepted);
-    const auto session = std::make_shared<request_session>(
-        request_session::options{.worker = this->config.worker,
-                                 .upstreams = this->config.upstreams,
-                                 .dialect = this->config.dialect.get(),
-                                 .header_names = &this->config.header_names,
-                                 .request = std::move(request),
-                                 .request_id = accepted.id,
-                                 .deadline = accepted.schedule.deadline,
-                                 .priority = route.priority,
-                                 .is_scattered = route.is_scattered(),
-                                 .plan = std::move(plan),
-                                 .log = &this->log});
+    const auto session =
+        std::make_shared<request_session>(request_session::options{
+            .worker = this->config.worker,
+            .upstreams = this->config.upstreams,
+            .dialect = this->config.dialect.get(),
+            .header_names = &this->config.header_names,
+            .request = std::move(request),
+            .request_id = accepted.id,
+            .deadline = accepted.schedule.deadline,
+            .priority = route.priority,
+            .is_scattered = route.is_scattered(),
+            .plan = std::move(plan),
+            .rate_limits = &this->config.state->rate_limits,
+            .log = &this->log});
     auto outcome = co_await session->run();
     if (!outcome)
     {
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -39,6 +39,7 @@
 
 constexpr const char* program_name = "wisteriahatch-gateway";
 constexpr std::chrono::seconds settings_poll_interval{2};
+constexpr std::chrono::seconds rate_limit_log_interval{1};
 
 // Returns when the file was last written; the epoch when it can't be read.
 std::filesystem::file_time_type last_write_time_of(const std::string& path)
@@ -108,6 +109,7 @@
             .upstreams = {},
             .budgets = retry_budgets(make_budget_options(
                 this->settings, this->fleet, this->started)),
+            .rate_limits = {},
             .split = {},
             .random = std::mt19937_64(random_seed())}
     , upstreams(this->workers, make_pool_options(this->dialect))
@@ -145,6 +147,7 @@
     , reload_signal(this->workers.at(0), SIGHUP)
     , reload_timer(this->workers.at(0))
     , reserve_timer(this->workers.at(0))
+    , rate_limit_timer(this->workers.at(0))
     , settings_write_time(last_write_time_of(this->settings_path))
     , shutdown_grace(this->settings.shutdown_grace)
 {
@@ -188,6 +191,7 @@
                    this->pauses.start();
                    this->watch_settings();
                    this->arm_reserve_timer();
+                   this->watch_rate_limits();
                    if (this->peer_server)
                        this->peers.start();
                });
@@ -266,6 +270,8 @@
     this->measures.set_upstreams(static_cast<double>(upstreams.size()));
     this->measures.set_ejected_upstreams(ejected);
     this->measures.set_running_attempts(running);
+    this->measures.set_limited_upstreams(
+        static_cast<double>(this->state.rate_limits.size()));
     for (const auto& [service, budget] : this->state.budgets.by_service())
         this->measures.set_repeat_tokens(service, budget.tokens());
 }
@@ -356,6 +362,23 @@
         });
 }
 
+void gateway_process::watch_rate_limits()
+{
+    for (const auto& use : this->state.rate_limits.take_use())
+        log_event(log_level::info, "upstream_limit_use",
+                  {{"upstream", use.upstream},
+                   {"per_second", std::to_string(use.per_second)},
+                   {"first_sends", std::to_string(use.first_sends)},
+                   {"repeats", std::to_string(use.repeats)}});
+    this->rate_limit_timer.expires_after(rate_limit_log_interval);
+    this->rate_limit_timer.async_wait(
+        [this](boost::system::error_code failure)
+        {
+            if (!failure)
+                this->watch_rate_limits();
+        });
+}
+
 asio::awaitable<http_reply> gateway_process::answer_peer(http_request request)
 {
     http_reply reply;
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -60,6 +60,8 @@
     void set_fleet_size(const fleet_size& size);
     // Grants the reserve of repeats once a window has passed since the start.
     void arm_reserve_timer();
+    // Logs each second how this instance uses the upstreams with a rate limit.
+    void watch_rate_limits();
     void drain();
 
     std::string settings_path;
@@ -87,6 +89,7 @@
     boost::asio::signal_set reload_signal;
     boost::asio::steady_timer reload_timer;
     boost::asio::steady_timer reserve_timer;
+    boost::asio::steady_timer rate_limit_timer;
     std::filesystem::file_time_type settings_write_time;
     std::atomic<std::chrono::milliseconds> shutdown_grace;
     std::atomic<bool> is_draining{false};
--- a/Programs/gateway/gateway_state.hpp
+++ b/Programs/gateway/gateway_state.hpp
@@ -3,6 +3,7 @@
 
 #include "core/process/retry_budgets.hpp"
 #include "core/process/traffic_split.hpp"
+#include "core/process/upstream_rate_limits.hpp"
 #include "core/process/upstream_registry.hpp"
 #include "core/version/route_table.hpp"
 
@@ -19,6 +20,7 @@
     route_table_ptr routes;
     upstream_registry upstreams;
     retry_budgets budgets;
+    upstream_rate_limits rate_limits;
     traffic_split split;
     std::mt19937_64 random;
     // When the configuration source, or the peer that watches it, last
--- a/Programs/gateway/request_log.hpp
+++ b/Programs/gateway/request_log.hpp
@@ -8,6 +8,7 @@
 #include "request_session.hpp"
 #include "telemetry/forwarding_metrics.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -62,6 +63,11 @@
     void record_unrouted(const std::string& id, const http_request& request,
                          std::uint64_t version, duration source_age,
                          unsigned status, time_point now);
+    // Records a changed rate limit; `per_second` is empty when the upstream has
+    // none any more.
+    void record_rate_limit(std::string_view upstream,
+                           std::optional<double> per_second,
+                           std::string_view origin);
 
 private:
     forwarding_metrics* measures;
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -103,6 +103,8 @@
     call.use = needs_fresh ? connection_use::new_or_recently_active
                            : connection_use::any;
     ++this->outcome.sends;
+    this->config.rate_limits->record_send(
+        call.replica, action.is_repeat ? send_kind::repeat : send_kind::first);
     const auto attempt = action.attempt;
     // A call that still waits for a connection when its answer is no longer
     // needed would only load the upstream.
@@ -177,7 +179,12 @@
 void request_session::end_attempt(attempt_id attempt, upstream_result result)
 {
     const auto ended = this->calls.extract(attempt);
-    if (ended.empty() || ended.mapped().is_released || this->has_ended)
+    if (ended.empty())
+        return;
+    if (result)
+        this->record_rate_limit(ended.mapped().upstream->spec.id,
+                                result.value());
+    if (ended.mapped().is_released || this->has_ended)
         return;
     // classify() moves the reply away when it keeps it.
     const unsigned status = result ? result.value().status : 0;
@@ -237,6 +244,17 @@
     text += spec.id + ":" + std::string(to_string(end));
 }
 
+void request_session::record_rate_limit(const std::string& upstream,
+                                        const upstream_reply& reply)
+{
+    const auto statement = this->config.dialect->read_rate_limit(reply);
+    if (!statement || !this->config.rate_limits->record(
+                          upstream, statement->per_second, clock_now()))
+        return;
+    this->config.log->record_rate_limit(upstream, statement->per_second,
+                                        "reply");
+}
+
 void request_session::handle_caller_disconnect()
 {
     if (this->has_ended)
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -1,6 +1,7 @@
 #ifndef WISTERIAHATCH_GATEWAY_REQUEST_SESSION_HPP
 #define WISTERIAHATCH_GATEWAY_REQUEST_SESSION_HPP
 
+#include "core/process/upstream_rate_limits.hpp"
 #include "core/request/fan_out.hpp"
 #include "net/forwarding_header_names.hpp"
 #include "net/http_server.hpp"
@@ -58,6 +59,7 @@
         // are answers then.
         bool is_scattered = false;
         fan_out::options plan;
+        upstream_rate_limits* rate_limits = nullptr;
         request_log* log = nullptr;
     };
 
@@ -95,6 +97,9 @@
     // Records the end of an attempt in the log and the metrics.
     void record(const running_call& call, attempt_outcome end,
                 std::string_view reason);
+    // Records what the reply says about the upstream's rate limit.
+    void record_rate_limit(const std::string& upstream,
+                           const upstream_reply& reply);
     void handle_caller_disconnect();
     void cancel_released();
 
--- a/StandIns/server/stand_in_server.cpp
+++ b/StandIns/server/stand_in_server.cpp
@@ -195,6 +195,7 @@
         constexpr unsigned status_failed = 500;
         reply_text reply{.id = id,
                          .signature = this->values.id + "." + id,
+                         .headers = this->rate_limit_header(),
                          .body = this->values.body};
         // NOTE: GCC 12 destroys temporaries in the operand of co_await twice,
         // so the encoded reply is kept in a local variable.
@@ -202,13 +203,13 @@
         if (!target.empty() && target != this->values.id)
         {
             reply.status = status_misdirected;
-            reply.headers = "Instance-Id: " + this->values.id + "\r\n";
+            reply.headers += "Instance-Id: " + this->values.id + "\r\n";
             encoded.bytes = format_reply(reply);
         }
         else if (mode == server_mode::refuse)
         {
             reply.status = status_refused;
-            reply.headers = "Not-Executed: 1\r\n";
+            reply.headers += "Not-Executed: 1\r\n";
             encoded.bytes = format_reply(reply);
         }
         else
@@ -264,6 +265,14 @@
         return this->mode;
     }
 
+    std::string rate_limit_header() const
+    {
+        const double limit = this->rate_limit;
+        if (limit < 0)
+            return "";
+        return "Server-Limit: " + std::to_string(limit) + "\r\n";
+    }
+
     void record_run(const std::string& id)
     {
         const std::lock_guard lock(this->mutex);
@@ -278,6 +287,7 @@
     std::vector<std::string> run_ids;
     std::vector<std::string> header_blocks;
     std::atomic<std::chrono::milliseconds> delay{std::chrono::milliseconds(0)};
+    std::atomic<double> rate_limit{-1};
     std::atomic<std::size_t> abandoned_requests{0};
 };
 
@@ -309,6 +319,11 @@
     this->state->delay = delay;
 }
 
+void stand_in_server::set_rate_limit(double per_second)
+{
+    this->state->rate_limit = per_second;
+}
+
 std::vector<std::string> stand_in_server::runs() const
 {
     const std::lock_guard lock(this->state->mutex);
--- a/StandIns/server/stand_in_server.hpp
+++ b/StandIns/server/stand_in_server.hpp
@@ -72,6 +72,9 @@
     void set_mode(server_mode mode);
     // Sets the time between running a request and replying to it.
     void set_delay(std::chrono::milliseconds delay);
+    // Sets the rate limit that replies state, in requests a second; negative
+    // for none. The limit is not enforced.
+    void set_rate_limit(double per_second);
 
     // Ids of the requests that were run, in order of execution.
     std::vector<std::string> runs() const;
--- a/Tests/gateway/gateway_fixture.hpp
+++ b/Tests/gateway/gateway_fixture.hpp
@@ -35,6 +35,7 @@
     gateway_state state{.routes = nullptr,
                         .upstreams = {},
                         .budgets = retry_budgets({.ratio = 1, .reserve = 50}),
+                        .rate_limits = {},
                         .split = {},
                         .random = std::mt19937_64(1)};
     std::optional<store_client> client;
