core, gateway: Divide the rate limit of an upstream among the fleet

An upstream that stated a limit got up to three times what it takes from all instances together. Cause: the header was read by nobody; each instance sent by latency alone. Class of the fault: a limit of the whole fleet that each instance would have to keep without shared state.

upstream_rate_limits keeps the newest statement of each upstream, from own replies or from gossip, and admits sends at this instance's share. rate_share chooses who holds a share (weighted rendezvous hashing, bounded by the limit, so that 4,900 instances don't each send one request) and gives each holder a part by its demand relative to the others'. There is no share while the view of the fleet settles. fan_out passes over upstreams whose share is used up; a request that no upstream may be sent is refused at once with the time of the next send as Retry-After. The end of a limit travels by gossip.

The tests fail without the check in admit(): 311 arrivals in four seconds where 215 are allowed (nine instances), 2,029 (1,000), and 178 where 11 are allowed on the real gateway. With it the model keeps the bound for 1 to 1,000 instances under restarts, partitions, uneven and moving demand.

--- a/Libraries/core/process/gossip_codec.cpp
+++ b/Libraries/core/process/gossip_codec.cpp
@@ -16,6 +16,12 @@
 // Longest address or failure domain, in bytes.
 constexpr std::size_t max_name_bytes = 64;
 
+// Longest id of an upstream, in bytes.
+constexpr std::size_t max_upstream_id_bytes = 200;
+
+// Largest age of a rate limit report; receivers ignore reports long before.
+constexpr std::uint64_t max_age_ms = 3600000;
+
 // Length of a SHA-256 digest in hexadecimal.
 constexpr std::size_t digest_digits = 64;
 
@@ -113,6 +119,64 @@
     return record;
 }
 
+boost::json::object encode_report(const rate_limit_report& report)
+{
+    boost::json::object object;
+    object["upstream"] = report.upstream;
+    if (report.per_second)
+        object["per_second"] = *report.per_second;
+    object["age_ms"] = report.age.count();
+    if (report.demand)
+        object["demand"] = *report.demand;
+    return object;
+}
+
+// Reads a rate in requests a second; empty when the field is absent.
+result<std::optional<double>> decode_rate(const boost::json::object& object,
+                                          std::string_view key)
+{
+    if (!object.contains(key))
+        return std::optional<double>();
+    BOOST_OUTCOME_TRY(const auto rate, read_json_double(object, key));
+    if (rate < 0)
+        return error{error_kind::malformed_request,
+                     "\"" + std::string(key) +
+                         "\" is negative; send requests a second"};
+    return std::optional(rate);
+}
+
+result<rate_limit_report> decode_report(const boost::json::value& value)
+{
+    BOOST_OUTCOME_TRY(const auto* object,
+                      read_json_object(value, "rate_limits"));
+    rate_limit_report report;
+    BOOST_OUTCOME_TRY(report.upstream, read_json_text(*object, "upstream",
+                                                      max_upstream_id_bytes));
+    BOOST_OUTCOME_TRY(report.per_second, decode_rate(*object, "per_second"));
+    BOOST_OUTCOME_TRY(report.age,
+                      read_json_milliseconds(*object, "age_ms", max_age_ms));
+    BOOST_OUTCOME_TRY(report.demand, decode_rate(*object, "demand"));
+    return report;
+}
+
+// Instances of earlier versions send no reports.
+result<std::vector<rate_limit_report>>
+decode_reports(const boost::json::object& object)
+{
+    std::vector<rate_limit_report> reports;
+    if (!object.contains("rate_limits"))
+        return reports;
+    BOOST_OUTCOME_TRY(
+        const auto* values,
+        read_json_array(object, "rate_limits", max_rate_limit_reports));
+    for (const auto& value : *values)
+    {
+        BOOST_OUTCOME_TRY(auto report, decode_report(value));
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
 result<bucket_digests> decode_buckets(const boost::json::object& object)
 {
     BOOST_OUTCOME_TRY(const auto* values,
@@ -149,6 +213,13 @@
     for (const auto& record : message.records)
         records.push_back(encode_record(record));
     object["records"] = std::move(records);
+    if (!message.rate_limits.empty())
+    {
+        boost::json::array reports;
+        for (const auto& report : message.rate_limits)
+            reports.push_back(encode_report(report));
+        object["rate_limits"] = std::move(reports);
+    }
     if (message.bucket)
         object["bucket"] = *message.bucket;
     if (message.buckets)
@@ -181,6 +252,7 @@
         BOOST_OUTCOME_TRY(auto record, decode_record(value));
         message.records.push_back(std::move(record));
     }
+    BOOST_OUTCOME_TRY(message.rate_limits, decode_reports(object));
     if (object.contains("bucket"))
     {
         BOOST_OUTCOME_TRY(
--- a/Libraries/core/process/gossip_codec.hpp
+++ b/Libraries/core/process/gossip_codec.hpp
@@ -13,9 +13,9 @@
 namespace wisteriahatch
 {
 
-// Largest gossip.exchange message in bytes: max_message_records records of 250
-// bytes each.
-inline constexpr std::size_t max_gossip_bytes = 65536;
+// Largest gossip.exchange message in bytes: max_message_records records and
+// max_rate_limit_reports reports of 250 bytes each.
+inline constexpr std::size_t max_gossip_bytes = 69632;
 
 // Writes a message as JSON. 64-bit hashes and nonces are hexadecimal strings.
 std::string encode_gossip(const gossip_message& message);
--- a/Libraries/core/process/gossip_message.hpp
+++ b/Libraries/core/process/gossip_message.hpp
@@ -2,6 +2,7 @@
 #define WISTERIAHATCH_CORE_PROCESS_GOSSIP_MESSAGE_HPP
 
 #include "core/base/ids.hpp"
+#include "core/process/rate_limit_report.hpp"
 #include "core/version/document.hpp"
 
 #include <array>
@@ -75,6 +76,8 @@
     std::optional<unsigned> bucket;
     // The sender's bucket digests; set in a reply if the tables differ.
     std::optional<bucket_digests> buckets;
+    // At most max_rate_limit_reports.
+    std::vector<rate_limit_report> rate_limits;
 
     friend bool operator==(const gossip_message&,
                            const gossip_message&) = default;
--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -130,6 +130,16 @@
     return this->denied_count;
 }
 
+unsigned fan_out::withheld_sends() const
+{
+    return this->withheld_count;
+}
+
+std::optional<time_point> fan_out::next_allowed_send() const
+{
+    return this->allowed_at;
+}
+
 bool fan_out::is_open(const leg& each) const
 {
     return !each.answer && !each.is_given_up;
@@ -147,8 +157,7 @@
                current_leg.running.end();
 }
 
-registered_upstream_ptr fan_out::choose(const leg& current_leg,
-                                        time_point now) const
+registered_upstream_ptr fan_out::choose(const leg& current_leg, time_point now)
 {
     const auto used = static_cast<std::size_t>(
         std::ranges::count_if(current_leg.tried, [](const tried_upstream& each)
@@ -167,9 +176,27 @@
                                  return this->may_use(
                                      current_leg, each->spec.id, is_new_wanted);
                              });
-        if (auto best = choose_upstream(candidates, this->config.failure_domain,
-                                        now, *this->config.random))
+        if (auto best = this->choose_allowed(std::move(candidates), now))
+            return best;
+    }
+    return nullptr;
+}
+
+registered_upstream_ptr fan_out::choose_allowed(upstream_group candidates,
+                                                time_point now)
+{
+    while (auto best = choose_upstream(candidates, this->config.failure_domain,
+                                       now, *this->config.random))
+    {
+        if (this->config.rate_limits->admit(*best, now))
             return best;
+        ++this->withheld_count;
+        const auto next =
+            this->config.rate_limits->next_send(best->spec.id, now);
+        if (next)
+            this->allowed_at =
+                std::min(*next, this->allowed_at.value_or(*next));
+        std::erase(candidates, best);
     }
     return nullptr;
 }
@@ -190,6 +217,10 @@
         ++this->denied_count;
         return false;
     }
+    this->config.rate_limits->record_send(
+        *upstream,
+        charge == budget_charge::charged ? send_kind::repeat : send_kind::first,
+        now);
     this->attempts.push_back({.leg = index});
     const attempt_id attempt{this->attempts.size()};
     const auto earlier = std::ranges::find(current_leg.tried, upstream->spec.id,
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -4,6 +4,7 @@
 #include "core/base/ids.hpp"
 #include "core/base/time.hpp"
 #include "core/process/retry_budgets.hpp"
+#include "core/process/upstream_rate_limits.hpp"
 #include "core/process/upstream_registry.hpp"
 #include "core/version/route_table.hpp"
 
@@ -60,6 +61,7 @@
     {
         const upstream_registry* upstreams = nullptr;
         retry_budgets* budgets = nullptr;
+        upstream_rate_limits* rate_limits = nullptr;
         std::mt19937_64* random = nullptr;
         // Failure domain of this instance.
         std::string failure_domain;
@@ -155,6 +157,12 @@
     unsigned repeats() const;
     // Retries and hedges that the retry budget did not allow.
     unsigned denied_repeats() const;
+    // Upstreams that were passed over because this instance's share of their
+    // rate limit was used up.
+    unsigned withheld_sends() const;
+    // When the first of these upstreams may be sent a request again; empty when
+    // this instance has no share of any.
+    std::optional<time_point> next_allowed_send() const;
 
 private:
     // An upstream that was chosen for a leg.
@@ -189,8 +197,11 @@
 
     bool is_open(const leg& each) const;
     // Returns the upstream for the leg's next attempt, or nullptr.
-    registered_upstream_ptr choose(const leg& current_leg,
-                                   time_point now) const;
+    registered_upstream_ptr choose(const leg& current_leg, time_point now);
+    // Returns the best of the candidates whose rate limit allows a send, or
+    // nullptr.
+    registered_upstream_ptr choose_allowed(upstream_group candidates,
+                                           time_point now);
     bool may_use(const leg& current_leg, const std::string& id,
                  bool is_new_wanted) const;
     bool try_send(std::size_t index, budget_charge charge, time_point now);
@@ -224,6 +235,8 @@
     std::vector<action> actions;
     unsigned repeat_count = 0;
     unsigned denied_count = 0;
+    unsigned withheld_count = 0;
+    std::optional<time_point> allowed_at;
     bool may_have_run = false;
     bool has_ended = false;
 };
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -22,8 +22,8 @@
 
 // Routes may be stale when the source has not answered for this long.
 constexpr std::chrono::seconds routes_stale_after{6};
-// Value of the header Retry-After, in seconds.
-constexpr const char* retry_after_s = "0.2";
+// Shortest time that callers are told to wait before they repeat a request.
+constexpr milliseconds min_retry_after{200};
 
 time_point clock_now()
 {
@@ -49,14 +49,27 @@
 
 // Makes a refusal, which guarantees that the request has not run and will not
 // run.
-http_reply make_unavailable(const std::string& message)
+http_reply make_unavailable(const std::string& message,
+                            duration retry_after = min_retry_after)
 {
+    using seconds = std::chrono::duration<double>;
+    const seconds wait = std::max<duration>(retry_after, min_retry_after);
     auto reply =
         make_error_reply(status_unavailable, {error_kind::overloaded, message});
-    reply.headers.emplace_back("Retry-After", retry_after_s);
+    reply.headers.emplace_back("Retry-After", std::to_string(wait.count()));
     return reply;
 }
 
+// Refuses a request that no upstream has run.
+http_reply refuse(const forwarded_request& outcome)
+{
+    if (!outcome.next_allowed_send)
+        return make_unavailable("no upstream could take the request; retry");
+    return make_unavailable(
+        "the upstreams limit the rate of requests; retry later",
+        *outcome.next_allowed_send - clock_now());
+}
+
 // Passes on an upstream's status, end-to-end headers and body.
 http_reply relay(upstream_reply&& answer)
 {
@@ -159,6 +172,7 @@
     fan_out::options plan;
     plan.upstreams = &state.upstreams;
     plan.budgets = &state.budgets;
+    plan.rate_limits = &state.rate_limits;
     plan.random = &state.random;
     plan.failure_domain = this->config.failure_domain;
     plan.retries = route.retries;
@@ -185,7 +199,7 @@
         reply = route.is_scattered() ? this->merge(route, outcome)
                                      : relay(std::move(*outcome.answers[0]));
     else if (outcome.result == fan_out_result::not_run)
-        reply = make_unavailable("no upstream could take the request; retry");
+        reply = refuse(outcome);
     else if (outcome.failure)
         reply = relay(std::move(*outcome.failure));
     else if (outcome.result == fan_out_result::timed_out)
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -88,6 +88,14 @@
     return chosen;
 }
 
+// Rate limits of a gateway without peers are not divided.
+rate_limit_fleet make_single_instance_fleet()
+{
+    return {.size = {.instances = 1, .view = fleet_view::settled},
+            .own_address = "self",
+            .live = {{.address = "self", .failure_domain = ""}}};
+}
+
 std::uint64_t random_seed()
 {
     std::random_device source;
@@ -125,7 +133,9 @@
              .watcher = &this->watcher,
              .membership_options = make_membership_options(this->settings),
              .handle_fleet_size = [this](const fleet_size& size)
-             { this->set_fleet_size(size); }})
+             { this->set_fleet_size(size); },
+             .handle_rate_limit = [](const rate_limit_report& report)
+             { log_rate_limit(report.upstream, report.per_second, "peer"); }})
     , reader(this->peers, this->watcher)
     , requests({.worker = &this->workers.at(0),
                 .state = &this->state,
@@ -194,6 +204,9 @@
                    this->watch_rate_limits();
                    if (this->peer_server)
                        this->peers.start();
+                   else
+                       this->state.rate_limits.set_fleet(
+                           make_single_instance_fleet());
                });
     this->workers.start();
     log_event(log_level::info, "started",
@@ -364,12 +377,15 @@
 
 void gateway_process::watch_rate_limits()
 {
+    this->state.rate_limits.expire(std::chrono::steady_clock::now());
     for (const auto& use : this->state.rate_limits.take_use())
         log_event(log_level::info, "upstream_limit_use",
                   {{"upstream", use.upstream},
                    {"per_second", std::to_string(use.per_second)},
+                   {"share", std::to_string(use.share)},
                    {"first_sends", std::to_string(use.first_sends)},
-                   {"repeats", std::to_string(use.repeats)}});
+                   {"repeats", std::to_string(use.repeats)},
+                   {"withheld", std::to_string(use.withheld)}});
     this->rate_limit_timer.expires_after(rate_limit_log_interval);
     this->rate_limit_timer.async_wait(
         [this](boost::system::error_code failure)
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -134,8 +134,48 @@
         throw std::runtime_error(message.error().message);
     const auto reply =
         this->members.handle_exchange(message.value(), clock_now());
+    this->merge_rate_limits(message.value());
     this->fetch_if_newer(message.value().sender);
-    return encode_gossip(reply);
+    return encode_gossip(this->with_rate_limits(reply));
+}
+
+gossip_message peer_exchange::with_rate_limits(gossip_message message)
+{
+    message.rate_limits = this->config.state->rate_limits.reports(
+        max_rate_limit_reports, clock_now());
+    return message;
+}
+
+void peer_exchange::merge_rate_limits(const gossip_message& message)
+{
+    for (const auto& report : message.rate_limits)
+    {
+        const bool has_changed = this->config.state->rate_limits.merge(
+            report, message.sender.address, clock_now());
+        if (has_changed)
+            this->config.handle_rate_limit(report);
+    }
+}
+
+void peer_exchange::update_rate_limit_fleet()
+{
+    const auto now = clock_now();
+    if (now < this->next_fleet_update)
+        return;
+    this->next_fleet_update = now + rate_limit_fleet_interval;
+    rate_limit_fleet shares{.size = this->fleet.size(),
+                            .own_address =
+                                this->members.members().self().address};
+    for (const auto& member : this->members.members().members())
+    {
+        const bool is_live = member.state == member_state::alive ||
+                             member.state == member_state::suspect ||
+                             member.address == shares.own_address;
+        if (is_live)
+            shares.live.push_back({.address = member.address,
+                                   .failure_domain = member.failure_domain});
+    }
+    this->config.state->rate_limits.set_fleet(std::move(shares));
 }
 
 std::string peer_exchange::answer_changes(const std::string& parameters)
@@ -153,7 +193,8 @@
 void peer_exchange::exchange(const membership::exchange& next)
 {
     this->peers.call(
-        next.address, "gossip.exchange", encode_gossip(next.message),
+        next.address, "gossip.exchange",
+        encode_gossip(this->with_rate_limits(next.message)),
         [this, address = next.address](const result<std::string>& answer)
         { this->handle_answer(address, answer); });
 }
@@ -171,6 +212,7 @@
     }
     const auto follow_up =
         this->members.handle_reply(address, reply.value(), now);
+    this->merge_rate_limits(reply.value());
     this->fetch_if_newer(reply.value().sender);
     if (follow_up)
         this->exchange(*follow_up);
@@ -222,6 +264,7 @@
             this->exchange(each);
         if (this->fleet.update(this->live_members(), now))
             this->config.handle_fleet_size(this->fleet.size());
+        this->update_rate_limit_fleet();
         timer.expires_at(std::min(now + max_timer_period,
                                   std::max(this->members.next_timer(), now)));
         boost::system::error_code ignored;
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -36,6 +36,9 @@
         // Called when the estimate has changed of how many instances share
         // connections and repeats.
         std::function<void(const fleet_size&)> handle_fleet_size;
+        // Called when a peer's report has changed what is known of an
+        // upstream's rate limit.
+        std::function<void(const rate_limit_report&)> handle_rate_limit;
     };
 
     // Routing is fetched from peers when the source has not answered for this
@@ -43,6 +46,9 @@
     static constexpr std::chrono::milliseconds source_silence_timeout{700};
     // Shortest time between two fetches of a snapshot from peers.
     static constexpr std::chrono::milliseconds snapshot_interval{500};
+    // Time between two updates of the instances that share rate limits, each of
+    // which leads to a new choice of those with a share.
+    static constexpr std::chrono::milliseconds rate_limit_fleet_interval{1000};
 
     explicit peer_exchange(options opts);
 
@@ -70,6 +76,11 @@
     std::string handle_message(const std::string& message);
 
 private:
+    // Adds what this instance knows of rate limits to a message.
+    gossip_message with_rate_limits(gossip_message message);
+    void merge_rate_limits(const gossip_message& message);
+    // Tells the rate limits which instances share them.
+    void update_rate_limit_fleet();
     std::string answer_gossip(const std::string& parameters);
     std::string answer_changes(const std::string& parameters);
     void exchange(const membership::exchange& next);
@@ -87,6 +98,7 @@
     rpc_server methods;
     time_point last_snapshot{};
     fleet_size_estimate fleet;
+    time_point next_fleet_update{};
     reader_selection readers;
 };
 
--- a/Programs/gateway/request_log.cpp
+++ b/Programs/gateway/request_log.cpp
@@ -86,6 +86,7 @@
          {"sends", std::to_string(outcome.sends)},
          {"repeats", std::to_string(outcome.repeats)},
          {"repeats_denied", std::to_string(outcome.denied_repeats)},
+         {"sends_withheld", std::to_string(outcome.withheld_sends)},
          {"max_attempts", std::to_string(route.max_attempts)},
          {"retries", std::string(to_string(route.retries))},
          {"elapsed_ms", format_milliseconds(elapsed)},
@@ -147,9 +148,8 @@
                {"left_out", std::to_string(*left_out)}});
 }
 
-void request_log::record_rate_limit(std::string_view upstream,
-                                    std::optional<double> per_second,
-                                    std::string_view origin)
+void log_rate_limit(std::string_view upstream, std::optional<double> per_second,
+                    std::string_view origin)
 {
     log_event(
         log_level::info, "upstream_limit_changed",
--- a/Programs/gateway/request_log.hpp
+++ b/Programs/gateway/request_log.hpp
@@ -41,6 +41,11 @@
     duration elapsed{0};
 };
 
+// Logs a changed rate limit; `per_second` is empty when it has ended. `origin`
+// says who reported it.
+void log_rate_limit(std::string_view upstream, std::optional<double> per_second,
+                    std::string_view origin);
+
 // Logs and counts the outcome of each request. Requests that were answered
 // completely, within the target latency and without a repeat are routine; all
 // others are notable. Each kind has its own limit of log lines, and so have
@@ -63,11 +68,6 @@
     void record_unrouted(const std::string& id, const http_request& request,
                          std::uint64_t version, duration source_age,
                          unsigned status, time_point now);
-    // Records a changed rate limit; `per_second` is empty when the upstream has
-    // none any more.
-    void record_rate_limit(std::string_view upstream,
-                           std::optional<double> per_second,
-                           std::string_view origin);
 
 private:
     forwarding_metrics* measures;
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -103,8 +103,6 @@
     call.use = needs_fresh ? connection_use::new_or_recently_active
                            : connection_use::any;
     ++this->outcome.sends;
-    this->config.rate_limits->record_send(
-        call.replica, action.is_repeat ? send_kind::repeat : send_kind::first);
     const auto attempt = action.attempt;
     // A call that still waits for a connection when its answer is no longer
     // needed would only load the upstream.
@@ -164,6 +162,8 @@
     this->outcome.result = action.result;
     this->outcome.repeats = this->decisions.repeats();
     this->outcome.denied_repeats = this->decisions.denied_repeats();
+    this->outcome.withheld_sends = this->decisions.withheld_sends();
+    this->outcome.next_allowed_send = this->decisions.next_allowed_send();
     this->outcome.legs = action.legs;
     for (const auto& leg : action.legs)
     {
@@ -251,8 +251,7 @@
     if (!statement || !this->config.rate_limits->record(
                           upstream, statement->per_second, clock_now()))
         return;
-    this->config.log->record_rate_limit(upstream, statement->per_second,
-                                        "reply");
+    log_rate_limit(upstream, statement->per_second, "reply");
 }
 
 void request_session::handle_caller_disconnect()
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -38,6 +38,9 @@
     unsigned sends = 0;
     unsigned repeats = 0;
     unsigned denied_repeats = 0;
+    // See fan_out.
+    unsigned withheld_sends = 0;
+    std::optional<time_point> next_allowed_send;
 };
 
 // Sends one caller's request to the upstreams that its fan_out chooses. Lives
--- a/Tests/core/process/gossip_codec.cpp
+++ b/Tests/core/process/gossip_codec.cpp
@@ -26,6 +26,11 @@
                             .nonce = {1},
                             .epoch = 2,
                             .state = member_state::dead});
+    message.rate_limits = {{"i-1", 35.5, std::chrono::milliseconds(120), 3.25},
+                           {"i-2", {}, std::chrono::milliseconds(0), {}}};
+    message.rate_limits.resize(max_rate_limit_reports,
+                               {std::string(200, 'u'), 1.0 / 3,
+                                std::chrono::milliseconds(30000), 1.0 / 7});
     message.bucket = 63;
     message.buckets.emplace().fill(0xfffffffffffffff1);
     return message;
@@ -61,6 +66,7 @@
 {
     auto message = full_message();
     message.records.resize(max_update_records);
+    message.rate_limits.clear();
     message.bucket.reset();
     message.buckets.reset();
     CHECK(encode_gossip(message).size() < 2048);
@@ -77,6 +83,9 @@
         {R"("leaving")", R"("gone")"},
         {R"("leaving")", "1"},
         {R"("epoch":2,)", R"("epoch":-2,)"},
+        {R"("age_ms":120)", R"("age_ms":-120)"},
+        {R"("per_second":3.55E1)", R"("per_second":-1)"},
+        {R"("upstream":"i-1")", R"("upstream":1)"},
         {R"("epoch":2,)", R"("epoch":9007199254740993,)"},
         {R"("epoch":2,)", R"("epoch":1e300,)"},
         {R"("table_digest":"8)", R"("table_digest":"x)"},
--- /dev/null
+++ b/Tests/core/process/upstream_rate_limits.cpp
@@ -0,0 +1,453 @@
+#include "core/process/upstream_rate_limits.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace wisteriahatch;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const time_point start = time_point{} + 1h;
+constexpr auto step = 5ms;
+constexpr auto gossip_interval = 1000ms;
+constexpr auto reply_time = 10ms;
+// From the protocol: the limit holds from this time after it was first stated,
+// for instances that were told this long before, in each window, with a
+// tolerance of one half and five requests.
+constexpr auto contact_time = 4s;
+constexpr auto told_before = 500ms;
+constexpr auto window = 4s;
+constexpr double tolerance = 1.5;
+constexpr double slack = 5;
+
+enum class demand_shape : std::uint8_t
+{
+    even,
+    // One instance gets all requests.
+    single,
+    // Instance i gets requests in proportion to 1 / (i + 1).
+    skewed,
+};
+
+enum class trouble : std::uint8_t
+{
+    none,
+    // An instance is replaced by an empty one every two seconds.
+    restarts,
+    // Each half of the fleet sees only itself.
+    partition,
+    // The instance with the highest demand changes every five seconds.
+    moving_demand,
+};
+
+// A fleet of instances that send requests to one upstream with a rate limit and
+// gossip with each other.
+class limited_fleet
+{
+public:
+    struct options
+    {
+        std::size_t instances = 1;
+        double per_second = 10;
+        // Requests a second of all callers.
+        double demand = 20;
+        demand_shape shape = demand_shape::even;
+        trouble fault = trouble::none;
+        duration limit_ends = 1h;
+    };
+
+    explicit limited_fleet(options opts)
+        : config(opts)
+        , instances(opts.instances)
+    {
+        for (std::size_t index = 0; index < opts.instances; ++index)
+            this->members.push_back(
+                {.address = "10.0.0." + std::to_string(index) + ":1",
+                 .failure_domain = "z" + std::to_string(index % 3)});
+        for (std::size_t index = 0; index < opts.instances; ++index)
+            this->set_view(index, fleet_view::settled);
+        this->upstream.spec = {.id = "u", .failure_domain = "z0"};
+    }
+
+    void run(duration length)
+    {
+        for (auto now = start; now < start + length; now += step)
+        {
+            this->deliver_replies(now);
+            this->apply_fault(now);
+            if ((now - start) % gossip_interval == duration::zero())
+                this->gossip(now);
+            std::poisson_distribution<unsigned> requests(
+                this->config.demand *
+                std::chrono::duration<double>(step).count());
+            for (auto left = requests(this->random); left > 0; --left)
+                this->handle_request(this->choose_instance(now), now);
+        }
+    }
+
+    // Largest number of counted arrivals in a window.
+    std::size_t busiest_window() const
+    {
+        std::size_t most = 0;
+        for (auto first = this->counted.begin(); first != this->counted.end();
+             ++first)
+        {
+            const auto end =
+                std::lower_bound(first, this->counted.end(), *first + window);
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
+
+    // Arrivals a second between two times.
+    double arrival_rate(duration from, duration to) const
+    {
+        const auto count = std::ranges::count_if(
+            this->arrivals, [&](time_point at)
+            { return at >= start + from && at < start + to; });
+        return static_cast<double>(count) /
+               std::chrono::duration<double>(to - from).count();
+    }
+
+    // Instances that still hold the limit for stated.
+    std::size_t limited_instances() const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(this->instances, [](const instance& each)
+                                  { return each.limits.size() > 0; }));
+    }
+
+private:
+    struct instance
+    {
+        upstream_rate_limits limits;
+        std::optional<time_point> told_at;
+        time_point settled_at;
+    };
+
+    struct reply
+    {
+        time_point at;
+        std::size_t instance;
+        // Replies to requests of a process that is gone are dropped.
+        unsigned boot;
+    };
+
+    void set_view(std::size_t index, fleet_view view)
+    {
+        rate_limit_fleet fleet{
+            .size = {.instances = this->members.size(), .view = view},
+            .own_address = this->members[index].address};
+        for (std::size_t other = 0; other < this->members.size(); ++other)
+            if (this->is_reachable(index, other))
+                fleet.live.push_back(this->members[other]);
+        this->instances[index].limits.set_fleet(std::move(fleet));
+    }
+
+    bool is_reachable(std::size_t left, std::size_t right) const
+    {
+        const auto half = this->members.size() / 2;
+        return this->config.fault != trouble::partition ||
+               (left < half) == (right < half);
+    }
+
+    void apply_fault(time_point now)
+    {
+        for (std::size_t index = 0; index < this->instances.size(); ++index)
+            if (this->instances[index].settled_at == now)
+                this->set_view(index, fleet_view::settled);
+        const bool is_due = (now - start) % 2000ms == duration::zero();
+        if (this->config.fault != trouble::restarts || !is_due)
+            return;
+        const auto index = this->random() % this->instances.size();
+        this->instances[index] = {.settled_at = now + 4s};
+        this->set_view(index, fleet_view::settling);
+        ++this->boots[index];
+    }
+
+    std::size_t choose_instance(time_point now)
+    {
+        const auto count = this->instances.size();
+        const auto shift = this->config.fault == trouble::moving_demand
+                               ? static_cast<std::size_t>((now - start) / 5s)
+                               : 0;
+        std::size_t chosen = 0;
+        if (this->config.shape == demand_shape::even)
+            chosen = this->random() % count;
+        else if (this->config.shape == demand_shape::skewed)
+        {
+            std::vector<double> weights;
+            for (std::size_t index = 0; index < count; ++index)
+                weights.push_back(1.0 / static_cast<double>(index + 1));
+            chosen = std::discrete_distribution<std::size_t>(
+                weights.begin(), weights.end())(this->random);
+        }
+        return (chosen + shift) % count;
+    }
+
+    void handle_request(std::size_t index, time_point now)
+    {
+        auto& sender = this->instances[index];
+        if (!sender.limits.admit(this->upstream, now))
+            return;
+        sender.limits.record_send(this->upstream, send_kind::first, now);
+        this->arrivals.push_back(now);
+        const bool is_told =
+            sender.told_at && now - *sender.told_at >= told_before;
+        if (is_told && now >= start + contact_time &&
+            now < start + this->config.limit_ends)
+            this->counted.push_back(now);
+        this->replies.push_back({now + reply_time, index, this->boots[index]});
+    }
+
+    void deliver_replies(time_point now)
+    {
+        while (!this->replies.empty() && this->replies.front().at <= now)
+        {
+            const auto next = this->replies.front();
+            this->replies.pop_front();
+            if (next.boot != this->boots[next.instance])
+                continue;
+            auto& receiver = this->instances[next.instance];
+            const bool is_limited = now < start + this->config.limit_ends;
+            receiver.limits.record("u",
+                                   is_limited
+                                       ? std::optional(this->config.per_second)
+                                       : std::nullopt,
+                                   now);
+            if (is_limited && !receiver.told_at)
+                receiver.told_at = now;
+        }
+    }
+
+    void gossip(time_point now)
+    {
+        for (std::size_t index = 0; index < this->instances.size(); ++index)
+        {
+            const auto other = this->random() % this->instances.size();
+            if (other == index || !this->is_reachable(index, other))
+                continue;
+            this->send_reports(index, other, now);
+            this->send_reports(other, index, now);
+        }
+    }
+
+    void send_reports(std::size_t from, std::size_t to, time_point now)
+    {
+        for (const auto& report :
+             this->instances[from].limits.reports(max_rate_limit_reports, now))
+            this->instances[to].limits.merge(report,
+                                             this->members[from].address, now);
+    }
+
+    options config;
+    std::mt19937_64 random{7};
+    std::vector<rate_limit_member> members;
+    std::vector<instance> instances;
+    std::map<std::size_t, unsigned> boots;
+    registered_upstream upstream;
+    std::deque<reply> replies;
+    std::vector<time_point> arrivals;
+    std::vector<time_point> counted;
+};
+
+}
+
+// Guards against a fleet that sends an upstream more requests than the limit
+// that it states (rule LIMIT, day capped: 284 requests in four seconds where
+// 220 were allowed), and against one that leaves most of the limit unused.
+TEST_CASE("all instances together keep an upstream's rate limit")
+{
+    using enum demand_shape;
+    struct scenario
+    {
+        std::string name;
+        limited_fleet::options fleet;
+        // Arrivals a second that have to be reached, relative to the limit.
+        double min_use;
+    };
+    for (const auto& [name, fleet, min_use] : std::initializer_list<scenario>{
+             {"one", {.instances = 1, .per_second = 35, .demand = 70}, 0.7},
+             {"seven", {.instances = 7, .per_second = 35, .demand = 70}, 0.6},
+             {"nine, one busy",
+              {.instances = 9, .per_second = 35, .demand = 70, .shape = single},
+              0.6},
+             {"nine, skewed",
+              {.instances = 9, .per_second = 35, .demand = 70, .shape = skewed},
+              0.6},
+             {"nine, restarts",
+              {.instances = 9,
+              .per_second = 18,
+              .demand = 70,
+              .fault = trouble::restarts},
+              0.3},
+             {"nine, demand moves",
+              {.instances = 9,
+              .per_second = 35,
+              .demand = 70,
+              .shape = single,
+              .fault = trouble::moving_demand},
+              0.3},
+             {"nine, half each",
+              {.instances = 9,
+              .per_second = 35,
+              .demand = 70,
+              .fault = trouble::partition},
+              0.5},
+             {"nine, low limit",
+              {.instances = 9, .per_second = 1.5, .demand = 30},
+              0.3},
+             {"61", {.instances = 61, .per_second = 35, .demand = 70}, 0.4},
+             {"195", {.instances = 195, .per_second = 35, .demand = 70}, 0.3},
+             {"195, skewed",
+              {.instances = 195,
+              .per_second = 35,
+              .demand = 70,
+              .shape = skewed},
+              0.1},
+             {"195, restarts",
+              {.instances = 195,
+              .per_second = 35,
+              .demand = 200,
+              .fault = trouble::restarts},
+              0.3},
+             {"195, partition",
+              {.instances = 195,
+              .per_second = 35,
+              .demand = 200,
+              .fault = trouble::partition},
+              0.3},
+             {"195, low limit",
+              {.instances = 195, .per_second = 2, .demand = 100},
+              0.3},
+             {"1,000",
+              {.instances = 1000, .per_second = 35, .demand = 500},
+              0.3}})
+    {
+        CAPTURE(name);
+        limited_fleet model(fleet);
+        model.run(30s);
+        CHECK(static_cast<double>(model.busiest_window()) <=
+              tolerance * fleet.per_second *
+                      std::chrono::duration<double>(window).count() +
+                  slack);
+        CHECK(model.arrival_rate(10s, 30s) >= min_use * fleet.per_second);
+    }
+}
+
+// Guards against instances that go on withholding requests after the upstream
+// has stated no limit any more. Those without a share learn that from others.
+TEST_CASE("the end of a rate limit reaches all instances")
+{
+    for (const std::size_t instances : {1, 9, 61, 195})
+    {
+        CAPTURE(instances);
+        limited_fleet model({.instances = instances,
+                             .per_second = 20,
+                             .demand = 100,
+                             .limit_ends = 10s});
+        model.run(20s);
+        CHECK(model.limited_instances() == 0);
+        CHECK(model.arrival_rate(18s, 20s) > 70);
+    }
+}
+
+// Guards against an old statement that replaces a newer one, which would
+// restore a limit that has ended.
+TEST_CASE("the newest statement about a limit is kept")
+{
+    struct scenario
+    {
+        std::string name;
+        std::optional<double> own;
+        rate_limit_report report;
+        std::size_t limited;
+    };
+    for (const auto& [name, own, report, limited] :
+         std::initializer_list<scenario>{
+             {"older limit", 5.0, {"u", 7.0, 2000ms, {}}, 1},
+             {"newer end", 5.0, {"u", {}, 500ms, {}}, 0},
+             {"older end", 5.0, {"u", {}, 2000ms, {}}, 1},
+             {"end of an unknown limit", {}, {"u", {}, 500ms, {}}, 0},
+             {"new limit", {}, {"u", 5.0, 500ms, {}}, 1},
+             {"expired limit", {}, {"u", 5.0, 30000ms, {}}, 0},
+             {"age in the future", {}, {"u", 5.0, -1ms, {}}, 0}})
+    {
+        CAPTURE(name);
+        upstream_rate_limits limits;
+        if (own)
+            limits.record("u", own, start);
+        limits.merge(report, "10.0.0.2:1", start + 1s);
+        CHECK(limits.size() == limited);
+    }
+}
+
+// Guards against a statement that looks newer each time it is passed on, and so
+// never expires.
+TEST_CASE("a statement ages while it is passed on")
+{
+    upstream_rate_limits left;
+    upstream_rate_limits right;
+    left.record("u", 5, start);
+    auto now = start;
+    for (unsigned round = 0; round < 40; ++round)
+    {
+        now += 1s;
+        for (const auto& report : left.reports(1, now))
+            right.merge(report, "left", now + 15ms);
+        for (const auto& report : right.reports(1, now))
+            left.merge(report, "right", now + 15ms);
+        left.expire(now);
+        right.expire(now);
+    }
+    CHECK(left.size() == 0);
+    CHECK(right.size() == 0);
+}
+
+// Guards against a report that always names the same upstreams when there are
+// more than a message holds.
+TEST_CASE("reports take turns through all upstreams")
+{
+    upstream_rate_limits limits;
+    for (unsigned index = 0; index < 10; ++index)
+        limits.record("u" + std::to_string(index), 5, start);
+    std::map<std::string, unsigned> seen;
+    for (unsigned message = 0; message < 5; ++message)
+        for (const auto& report : limits.reports(4, start + 1s))
+            ++seen[report.upstream];
+    CHECK(seen.size() == 10);
+    CHECK(limits.reports(20, start + 1s).size() == 10);
+}
+
+// Guards against instances without a settled view that take a share: a
+// restarted instance does not know how many others there are.
+TEST_CASE("a share needs a settled view")
+{
+    struct scenario
+    {
+        fleet_view view;
+        bool is_allowed;
+    };
+    for (const auto& [view, is_allowed] :
+         {scenario{fleet_view::settling, false},
+          scenario{fleet_view::settled, true}})
+    {
+        upstream_rate_limits limits;
+        limits.set_fleet({.size = {.instances = 1, .view = view},
+                          .own_address = "a",
+                          .live = {{.address = "a", .failure_domain = "z"}}});
+        registered_upstream upstream;
+        upstream.spec = {.id = "u", .failure_domain = "z"};
+        CHECK(limits.admit(upstream, start));
+        limits.record("u", 10, start);
+        limits.admit(upstream, start);
+        CHECK(limits.admit(upstream, start + 1s) == is_allowed);
+        CHECK(limits.next_send("u", start + 1s).has_value() == is_allowed);
+        limits.record("u", std::nullopt, start + 2s);
+        CHECK(limits.admit(upstream, start + 2s));
+    }
+}
--- a/Tests/core/request/fan_out.cpp
+++ b/Tests/core/request/fan_out.cpp
@@ -19,6 +19,7 @@
 {
     upstream_registry registry;
     retry_budgets budgets;
+    upstream_rate_limits rate_limits;
     std::mt19937_64 random{1};
     fan_out::options plan;
     std::vector<fan_out::send> sends;
@@ -43,6 +44,7 @@
         }
         this->plan.upstreams = &this->registry;
         this->plan.budgets = &this->budgets;
+        this->plan.rate_limits = &this->rate_limits;
         this->plan.random = &this->random;
         this->plan.max_attempts = 2;
         this->plan.answer_by = start + 100ms;
@@ -421,3 +423,40 @@
     fixture.finish(5, attempt_outcome::answered, 36ms);
     CHECK(fixture.sends.size() == 12);
 }
+
+// Guards against a leg that waits for, or is sent to, an upstream whose rate
+// limit is used up, and against a late refusal when no other upstream is left.
+TEST_CASE("a leg goes to an upstream whose rate limit allows it")
+{
+    struct scenario
+    {
+        const char* name;
+        unsigned legs;
+        // Upstreams of each leg, and how many of them allow no send.
+        unsigned replicas, limited;
+        double min_coverage;
+        std::size_t sends;
+        std::optional<fan_out_result> result;
+    };
+    for (const auto& each :
+         {scenario{"other upstream", 1, 2, 1, 1, 1, {}},
+          scenario{"no other", 1, 2, 2, 1, 0, fan_out_result::not_run},
+          scenario{"all legs", 3, 2, 1, 1, 3, {}},
+          scenario{"no leg", 3, 2, 2, 0.5, 0, fan_out_result::not_run}})
+    {
+        CAPTURE(each.name);
+        fan_out_fixture fixture(each.legs, each.replicas);
+        fixture.plan.min_coverage = each.min_coverage;
+        for (unsigned leg = 0; leg < each.legs; ++leg)
+            for (unsigned replica = 0; replica < each.limited; ++replica)
+                fixture.rate_limits.record("s" + std::to_string(leg) + "-" +
+                                               std::to_string(replica),
+                                           5, start);
+        fixture.run();
+        CHECK(fixture.sends.size() == each.sends);
+        CHECK(fixture.end.has_value() == each.result.has_value());
+        if (fixture.end)
+            CHECK(fixture.end->result == *each.result);
+        CHECK((fixture.request->withheld_sends() > 0 || each.sends > 0));
+    }
+}
--- a/Tests/gateway/forwarder.cpp
+++ b/Tests/gateway/forwarder.cpp
@@ -204,3 +204,55 @@
     // A route whose service has no server.
     CHECK(this->ask("GET", "/p/x").result_int() == 503);
 }
+
+// Guards against an upstream that gets more requests than the limit that its
+// replies state (rule LIMIT), against requests that are not sent to another
+// upstream instead, and against a refusal without a time to come back.
+TEST_CASE_FIXTURE(gateway_fixture, "an upstream's rate limit is kept")
+{
+    constexpr double limit = 2;
+    constexpr auto told_before = 500ms;
+    constexpr auto length = 2s;
+    auto& limited = this->add_server("plain", "i-1");
+    this->put_config(1, 0);
+    this->wait_for(1, 1);
+    this->on_worker(
+        [this]
+        {
+            this->state.rate_limits.set_fleet(
+                {.size = {.instances = 1, .view = fleet_view::settled},
+                 .own_address = "self",
+                 .live = {{.address = "self", .failure_domain = "z"}}});
+            return 0;
+        });
+    limited.set_rate_limit(limit);
+    CHECK(this->ask("GET", "/p/x").result_int() == 200);
+    std::this_thread::sleep_for(told_before);
+    const auto before = limited.arrivals().size();
+    const auto begin = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() < begin + length)
+    {
+        const auto reply = this->ask("POST", "/once/x");
+        if (reply.result_int() == 503)
+            CHECK(std::stod(std::string(reply["Retry-After"])) >= 0.2);
+        else
+            CHECK(reply.result_int() == 200);
+        std::this_thread::sleep_for(10ms);
+    }
+    const auto arrived = limited.arrivals().size() - before;
+    CHECK(arrived >= 1);
+    CHECK(static_cast<double>(arrived) <=
+          1.5 * limit * std::chrono::duration<double>(length).count() + 5);
+    this->add_server("plain", "i-2");
+    this->wait_for(2, 1);
+    for (unsigned request = 0; request < 20; ++request)
+        CHECK(this->ask("POST", "/once/x").result_int() == 200);
+    limited.set_rate_limit(-1);
+    REQUIRE(wait_until(
+        [this]
+        {
+            this->ask("GET", "/p/x");
+            return this->on_worker(
+                [this] { return this->state.rate_limits.size() == 0; });
+        }));
+}
