core, gateway, platform: Log the epoch of the configuration source

Log lines named revisions only, which a restored store gives out again. Nothing is decided differently yet.

So positions of both sides of a restoration are compared by revision alone.

--- a/Libraries/core/process/routing_change_log.hpp
+++ b/Libraries/core/process/routing_change_log.hpp
@@ -26,7 +26,8 @@
 // The changes since an earlier revision.
 struct routing_changes
 {
-    std::uint64_t revision = 0;
+    // The state that the changes lead to.
+    source_position position;
     // True when the log no longer holds every change since that revision; the
     // receiver then needs a snapshot.
     bool is_history_lost = false;
--- a/Libraries/core/process/routing_snapshot.cpp
+++ b/Libraries/core/process/routing_snapshot.cpp
@@ -22,6 +22,15 @@
 constexpr std::size_t max_text_bytes = 4096;
 constexpr std::uint64_t max_count = std::numeric_limits<std::uint32_t>::max();
 
+// Reads an integer; 0 when it is absent, as in messages of earlier versions.
+result<std::uint64_t> read_optional_integer(const json::object& object,
+                                            std::string_view key)
+{
+    if (!object.contains(key))
+        return std::uint64_t{0};
+    return read_json_integer(object, key, max_json_number);
+}
+
 // Decodes each item of an array field with `decode`.
 template <class Item>
 result<std::vector<Item>>
@@ -186,7 +195,8 @@
             {"slots", spec.slots},
             {"is_draining", spec.is_draining},
             {"warm_up_left_ms", spec.warm_up_left.count()},
-            {"start", spec.start.value}};
+            {"start", spec.start.value},
+            {"sequence", spec.sequence}};
 }
 
 result<upstream_spec> decode_upstream(const json::value& value)
@@ -211,6 +221,8 @@
     BOOST_OUTCOME_TRY(const auto start,
                       read_json_integer(*object, "start", max_json_number));
     spec.start = {start};
+    BOOST_OUTCOME_TRY(spec.sequence,
+                      read_optional_integer(*object, "sequence"));
     return spec;
 }
 
@@ -227,10 +239,11 @@
 }
 
 // Encodes the fields that snapshots and changes have in common.
-json::object encode_common(std::uint64_t revision,
+json::object encode_common(const source_position& position,
                            const route_table_ptr& routes, json::array upstreams)
 {
-    json::object object{{"revision", revision},
+    json::object object{{"epoch", position.epoch},
+                        {"revision", position.revision},
                         {"upstreams", std::move(upstreams)}};
     if (routes)
         object["routing"] = encode_routes(*routes);
@@ -242,8 +255,10 @@
 template <class Message>
 result<void> decode_common(const json::object& object, Message& message)
 {
-    BOOST_OUTCOME_TRY(message.revision,
+    BOOST_OUTCOME_TRY(message.position.revision,
                       read_json_integer(object, "revision", max_json_number));
+    BOOST_OUTCOME_TRY(message.position.epoch,
+                      read_optional_integer(object, "epoch"));
     if (const auto* routing = object.if_contains("routing"))
     {
         BOOST_OUTCOME_TRY(const auto* table,
@@ -260,7 +275,7 @@
     json::array upstreams;
     for (const auto& each : snapshot.upstreams)
         upstreams.push_back(encode_upstream(each));
-    return json::serialize(encode_common(snapshot.revision, snapshot.routes,
+    return json::serialize(encode_common(snapshot.position, snapshot.routes,
                                          std::move(upstreams)));
 }
 
@@ -286,7 +301,7 @@
         upstreams.push_back(std::move(change));
     }
     auto object =
-        encode_common(changes.revision, changes.routes, std::move(upstreams));
+        encode_common(changes.position, changes.routes, std::move(upstreams));
     object["is_history_lost"] = changes.is_history_lost;
     return json::serialize(object);
 }
--- a/Libraries/core/process/routing_snapshot.hpp
+++ b/Libraries/core/process/routing_snapshot.hpp
@@ -2,10 +2,11 @@
 #define WISTERIAHATCH_CORE_PROCESS_ROUTING_SNAPSHOT_HPP
 
 #include "core/base/error.hpp"
+#include "core/process/source_position.hpp"
 #include "core/process/upstream_registry.hpp"
 #include "core/version/route_table.hpp"
 
-#include <cstdint>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,11 +14,11 @@
 namespace wisteriahatch
 {
 
-// The routes and upstreams that their source held at `revision` or shortly
+// The routes and upstreams that their source held at `position` or shortly
 // after.
 struct routing_snapshot
 {
-    std::uint64_t revision = 0;
+    source_position position;
     // Null when the source has no routes yet.
     route_table_ptr routes;
     std::vector<upstream_spec> upstreams;
--- /dev/null
+++ b/Libraries/core/process/source_position.hpp
@@ -0,0 +1,25 @@
+#ifndef WISTERIAHATCH_CORE_PROCESS_SOURCE_POSITION_HPP
+#define WISTERIAHATCH_CORE_PROCESS_SOURCE_POSITION_HPP
+
+#include <compare>
+#include <cstdint>
+
+namespace wisteriahatch
+{
+
+// A state of the configuration source. A later state compares greater.
+struct source_position
+{
+    // Rises each time the source was restored from an older copy. Revisions are
+    // given out again then, so that those of two epochs can't be compared. 0
+    // when the source states none.
+    std::uint64_t epoch = 0;
+    std::uint64_t revision = 0;
+
+    friend auto operator<=>(const source_position&,
+                            const source_position&) = default;
+};
+
+}
+
+#endif
--- a/Libraries/core/process/upstream_registry.hpp
+++ b/Libraries/core/process/upstream_registry.hpp
@@ -34,6 +34,8 @@
     // Identifies this start of the upstream; differs between starts with the
     // same id.
     incarnation start;
+    // Rises with each statement of this start about itself; 0 when unknown.
+    std::uint64_t sequence = 0;
 
     friend bool operator==(const upstream_spec&,
                            const upstream_spec&) = default;
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -62,14 +62,16 @@
 void source_watcher::adopt_snapshot(const routing_snapshot& snapshot,
                                     const std::string& peer)
 {
-    if (snapshot.revision <= this->revision)
+    if (snapshot.position.revision <= this->known.revision)
         return;
     log_event(log_level::info, "peer_routing_adopted",
               {{"peer", peer},
-               {"revision", std::to_string(snapshot.revision)},
-               {"known_revision", std::to_string(this->revision)}});
-    this->revision = snapshot.revision;
-    this->change_log.reset(this->revision);
+               {"epoch", std::to_string(snapshot.position.epoch)},
+               {"revision", std::to_string(snapshot.position.revision)},
+               {"known_epoch", std::to_string(this->known.epoch)},
+               {"known_revision", std::to_string(this->known.revision)}});
+    this->known = snapshot.position;
+    this->change_log.reset(this->known.revision);
     // The source can be watched from the peer's revision on, as after a read.
     this->has_snapshot = true;
     this->adopt_routes(snapshot.routes, peer);
@@ -81,7 +83,7 @@
 
 routing_snapshot source_watcher::snapshot() const
 {
-    return {.revision = this->revision,
+    return {.position = this->known,
             .routes = this->config.state->routes,
             .upstreams = this->config.state->upstreams.listed()};
 }
@@ -89,7 +91,7 @@
 routing_position source_watcher::position() const
 {
     const auto& routes = this->config.state->routes;
-    return {.revision = this->revision,
+    return {.revision = this->known.revision,
             .version = routes ? routes->version() : 0};
 }
 
@@ -98,7 +100,7 @@
 {
     auto changes = this->change_log.since(other.revision);
     const auto own = this->position();
-    changes.revision = own.revision;
+    changes.position = this->known;
     if (own.version > other.version)
         changes.routes = this->config.state->routes;
     return changes;
@@ -106,7 +108,7 @@
 
 std::uint64_t source_watcher::known_revision() const
 {
-    return this->has_snapshot ? this->revision : 0;
+    return this->has_snapshot ? this->known.revision : 0;
 }
 
 bool source_watcher::is_source_reachable() const
@@ -156,8 +158,8 @@
                         snapshot ? "" : snapshot.error().message);
     if (!snapshot)
         co_return false;
-    this->revision = snapshot.value().revision;
-    this->change_log.reset(this->revision);
+    this->known = snapshot.value().position;
+    this->change_log.reset(this->known.revision);
     this->has_snapshot = true;
     this->adopt_routes(snapshot.value().routes, "snapshot");
     if (this->config.state->upstreams.replace_all(snapshot.value().upstreams,
@@ -165,7 +167,8 @@
         this->publish_upstreams();
     log_event(
         log_level::info, "directory_read",
-        {{"revision", std::to_string(this->revision)},
+        {{"epoch", std::to_string(this->known.epoch)},
+         {"revision", std::to_string(this->known.revision)},
          {"upstreams", std::to_string(snapshot.value().upstreams.size())}});
     this->arm_expiry();
     co_return true;
@@ -174,7 +177,7 @@
 asio::awaitable<bool> source_watcher::watch()
 {
     const auto changes =
-        co_await this->config.source->watch(this->revision, watch_wait);
+        co_await this->config.source->watch(this->known.revision, watch_wait);
     this->set_reachable(changes.has_value(),
                         changes ? "" : changes.error().message);
     if (!changes)
@@ -182,7 +185,8 @@
     if (changes.value().is_history_lost)
     {
         log_event(log_level::warning, "directory_history_lost",
-                  {{"revision", std::to_string(this->revision)}});
+                  {{"epoch", std::to_string(this->known.epoch)},
+                   {"revision", std::to_string(this->known.revision)}});
         this->has_snapshot = false;
         co_return true;
     }
@@ -199,7 +203,7 @@
          ++reader)
     {
         const auto changes = co_await this->config.peer->watch(
-            this->revision, std::chrono::milliseconds(0));
+            this->known.revision, std::chrono::milliseconds(0));
         if (changes && !changes.value().is_history_lost)
         {
             this->has_reachable_source = true;
@@ -214,7 +218,7 @@
                   {{"reason",
                     changes ? "the changes of the peer do not reach back to "
                               "revision " +
-                                  std::to_string(this->revision)
+                                  std::to_string(this->known.revision)
                             : changes.error().message}});
     }
     co_return false;
@@ -223,14 +227,15 @@
 void source_watcher::apply_changes(const routing_changes& changes,
                                    const std::string& origin)
 {
-    this->revision = std::max(this->revision, changes.revision);
+    this->known.revision =
+        std::max(this->known.revision, changes.position.revision);
     this->adopt_routes(changes.routes, origin);
     bool has_changed = false;
     const auto now = clock_now();
     for (const auto& change : changes.upstreams)
     {
         has_changed = this->apply_change(change, now) || has_changed;
-        this->change_log.append(this->revision, change);
+        this->change_log.append(this->known.revision, change);
     }
     if (has_changed)
         this->publish_upstreams();
@@ -258,7 +263,10 @@
                    {"state", !change.spec               ? "removed"
                              : change.spec->is_draining ? "draining"
                                                         : "ready"},
-                   {"revision", std::to_string(this->revision)}});
+                   {"sequence",
+                    std::to_string(change.spec ? change.spec->sequence : 0)},
+                   {"epoch", std::to_string(this->known.epoch)},
+                   {"revision", std::to_string(this->known.revision)}});
     return has_changed;
 }
 
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -110,7 +110,8 @@
     options config;
     boost::asio::steady_timer pause_timer;
     boost::asio::steady_timer expiry_timer;
-    std::uint64_t revision = 0;
+    // The state of the source up to which changes are known.
+    source_position known;
     bool has_snapshot = false;
     bool has_reachable_source = false;
     bool has_new_changes = false;
--- a/Tests/core/process/routing_change_log.cpp
+++ b/Tests/core/process/routing_change_log.cpp
@@ -29,7 +29,7 @@
 TEST_CASE("decoded changes equal the encoded ones")
 {
     routing_changes sent;
-    sent.revision = 44;
+    sent.position = {.epoch = 2, .revision = 44};
     sent.routes =
         std::make_shared<const route_table>(route_table::options{.version = 3});
     sent.upstreams = {{.id = "a",
--- a/Tests/core/process/routing_snapshot.cpp
+++ b/Tests/core/process/routing_snapshot.cpp
@@ -28,7 +28,7 @@
     scattered.top_records = 50;
     scattered.min_coverage = 0.89;
     routing_snapshot snapshot;
-    snapshot.revision = 77;
+    snapshot.position = {.epoch = 3, .revision = 77};
     snapshot.routes = std::make_shared<const route_table>(route_table::options{
         .version = 12,
         .routes = {split, scattered},
@@ -41,7 +41,8 @@
                            .slots = 3,
                            .is_draining = true,
                            .warm_up_left = 40ms,
-                           .start = {1700000000000}}};
+                           .start = {1700000000000},
+                           .sequence = 12}};
     return snapshot;
 }
 
@@ -56,7 +57,7 @@
     const auto read = decode_snapshot(text);
     REQUIRE(read);
     CHECK(encode_snapshot(read.value()) == text);
-    CHECK(read.value().revision == 77);
+    CHECK(read.value().position == sent.position);
     CHECK(read.value().upstreams == sent.upstreams);
     const auto* split = read.value().routes->find("a.example", "/x/1");
     REQUIRE(split != nullptr);
--- a/Tests/platform/decode.cpp
+++ b/Tests/platform/decode.cpp
@@ -36,7 +36,8 @@
                                         .slots = 3,
                                         .is_draining = false,
                                         .warm_up_left = 20ms,
-                                        .start = {1700000000000}});
+                                        .start = {1700000000000},
+                                        .sequence = 4});
     const auto draining =
         decode_upstream("i-1", replace(entry, "ready", "draining"));
     REQUIRE(draining);
