core, gateway, platform: Order positions of the source by epoch first

Cause: positions were compared by revision alone, and a restored store gives revisions out again. A state that the store had lost looked newer than what it held, so instances adopted it from peers again and again; an instance that knew a higher revision than its reader was given no change and no gap; and a store that had reached the old revision again was not noticed at all. Class: an order that is valid within one history, used across two.

--- a/Libraries/core/process/gossip_codec.cpp
+++ b/Libraries/core/process/gossip_codec.cpp
@@ -119,6 +119,31 @@
     return record;
 }
 
+boost::json::object encode_routing(const routing_position& position)
+{
+    return {{"epoch", position.source.epoch},
+            {"revision", position.source.revision},
+            {"version", position.version}};
+}
+
+// Instances of earlier versions send no routing position.
+result<std::optional<routing_position>>
+decode_routing(const boost::json::object& object)
+{
+    const auto* value = object.if_contains("routing");
+    if (value == nullptr)
+        return std::optional<routing_position>();
+    BOOST_OUTCOME_TRY(const auto* fields, read_json_object(*value, "routing"));
+    routing_position position;
+    BOOST_OUTCOME_TRY(position.source.epoch,
+                      read_json_integer(*fields, "epoch", max_json_number));
+    BOOST_OUTCOME_TRY(position.source.revision,
+                      read_json_integer(*fields, "revision", max_json_number));
+    BOOST_OUTCOME_TRY(position.version,
+                      read_json_integer(*fields, "version", max_json_number));
+    return std::optional(position);
+}
+
 boost::json::object encode_report(const rate_limit_report& report)
 {
     boost::json::object object;
@@ -213,6 +238,8 @@
     for (const auto& record : message.records)
         records.push_back(encode_record(record));
     object["records"] = std::move(records);
+    if (message.routing)
+        object["routing"] = encode_routing(*message.routing);
     if (!message.rate_limits.empty())
     {
         boost::json::array reports;
@@ -252,6 +279,7 @@
         BOOST_OUTCOME_TRY(auto record, decode_record(value));
         message.records.push_back(std::move(record));
     }
+    BOOST_OUTCOME_TRY(message.routing, decode_routing(object));
     BOOST_OUTCOME_TRY(message.rate_limits, decode_reports(object));
     if (object.contains("bucket"))
     {
--- a/Libraries/core/process/gossip_message.hpp
+++ b/Libraries/core/process/gossip_message.hpp
@@ -3,6 +3,7 @@
 
 #include "core/base/ids.hpp"
 #include "core/process/rate_limit_report.hpp"
+#include "core/process/source_position.hpp"
 #include "core/version/document.hpp"
 
 #include <array>
@@ -76,6 +77,8 @@
     std::optional<unsigned> bucket;
     // The sender's bucket digests; set in a reply if the tables differ.
     std::optional<bucket_digests> buckets;
+    // How current the sender's routing is; absent when it has none.
+    std::optional<routing_position> routing;
     // At most max_rate_limit_reports.
     std::vector<rate_limit_report> rate_limits;
 
--- a/Libraries/core/process/source_position.hpp
+++ b/Libraries/core/process/source_position.hpp
@@ -20,6 +20,18 @@
                             const source_position&) = default;
 };
 
+// How current the routing of an instance is. Routes have an order of their own:
+// their version never decreases, not even when the source was restored.
+struct routing_position
+{
+    source_position source;
+    // Version of the routes; 0 when none are known.
+    std::uint64_t version = 0;
+
+    friend bool operator==(const routing_position&,
+                           const routing_position&) = default;
+};
+
 }
 
 #endif
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -135,12 +135,13 @@
     const auto reply =
         this->members.handle_exchange(message.value(), clock_now());
     this->merge_rate_limits(message.value());
-    this->fetch_if_newer(message.value().sender);
-    return encode_gossip(this->with_rate_limits(reply));
+    this->fetch_if_newer(message.value());
+    return encode_gossip(this->with_gateway_state(reply));
 }
 
-gossip_message peer_exchange::with_rate_limits(gossip_message message)
+gossip_message peer_exchange::with_gateway_state(gossip_message message)
 {
+    message.routing = this->config.watcher->position();
     message.rate_limits = this->config.state->rate_limits.reports(
         max_rate_limit_reports, clock_now());
     return message;
@@ -194,7 +195,7 @@
 {
     this->peers.call(
         next.address, "gossip.exchange",
-        encode_gossip(this->with_rate_limits(next.message)),
+        encode_gossip(this->with_gateway_state(next.message)),
         [this, address = next.address](const result<std::string>& answer)
         { this->handle_answer(address, answer); });
 }
@@ -213,22 +214,24 @@
     const auto follow_up =
         this->members.handle_reply(address, reply.value(), now);
     this->merge_rate_limits(reply.value());
-    this->fetch_if_newer(reply.value().sender);
+    this->fetch_if_newer(reply.value());
     if (follow_up)
         this->exchange(*follow_up);
 }
 
-void peer_exchange::fetch_if_newer(const member_record& peer)
+void peer_exchange::fetch_if_newer(const gossip_message& message)
 {
     const auto now = clock_now();
     const auto& state = *this->config.state;
-    const bool is_newer =
-        peer.document.serial > this->config.watcher->known_revision();
+    const auto& peer = message.sender;
+    const auto own = this->config.watcher->position();
+    const auto theirs = message.routing.value_or(
+        routing_position{.source = {.revision = peer.document.serial}});
     const bool is_silent =
         now - state.last_source_contact > source_silence_timeout ||
         !this->config.watcher->is_source_reachable();
-    if (!is_newer || !is_silent ||
-        now - this->last_snapshot < snapshot_interval)
+    const bool is_later = theirs.source > own.source && is_silent;
+    if (!is_later || now - this->last_snapshot < snapshot_interval)
         return;
     this->last_snapshot = now;
     this->peers.call(
@@ -252,14 +255,14 @@
 asio::awaitable<void> peer_exchange::run_timer()
 {
     asio::steady_timer timer(*this->config.worker);
-    std::uint64_t announced_revision = 0;
+    source_position announced;
     for (;;)
     {
         const auto now = clock_now();
-        const auto revision = this->config.watcher->known_revision();
-        if (revision != announced_revision)
-            this->members.set_document_key({.serial = revision}, now);
-        announced_revision = revision;
+        const auto current = this->config.watcher->position().source;
+        if (current != announced)
+            this->members.set_document_key({.serial = current.revision}, now);
+        announced = current;
         for (const auto& each : this->members.handle_timer(now))
             this->exchange(each);
         if (this->fleet.update(this->live_members(), now))
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -76,8 +76,9 @@
     std::string handle_message(const std::string& message);
 
 private:
-    // Adds what this instance knows of rate limits to a message.
-    gossip_message with_rate_limits(gossip_message message);
+    // Adds this instance's routing position and what it knows of rate limits to
+    // a message.
+    gossip_message with_gateway_state(gossip_message message);
     void merge_rate_limits(const gossip_message& message);
     // Tells the rate limits which instances share them.
     void update_rate_limit_fleet();
@@ -86,9 +87,9 @@
     void exchange(const membership::exchange& next);
     void handle_answer(const std::string& address,
                        const result<std::string>& answer);
-    // Fetches the peer's snapshot if it is newer and the source does not
+    // Fetches the sender's snapshot if it is later and the source does not
     // answer.
-    void fetch_if_newer(const member_record& peer);
+    void fetch_if_newer(const gossip_message& message);
     void adopt(const std::string& address, const result<std::string>& answer);
     boost::asio::awaitable<void> run_timer();
 
--- a/Programs/gateway/peer_source.cpp
+++ b/Programs/gateway/peer_source.cpp
@@ -26,8 +26,10 @@
 
 std::string encode_routing_position(const routing_position& position)
 {
-    return boost::json::serialize(boost::json::object{
-        {"revision", position.revision}, {"version", position.version}});
+    return boost::json::serialize(
+        boost::json::object{{"epoch", position.source.epoch},
+                            {"revision", position.source.revision},
+                            {"version", position.version}});
 }
 
 result<routing_position> decode_routing_position(std::string_view text)
@@ -35,7 +37,13 @@
     BOOST_OUTCOME_TRY(const auto object,
                       parse_json_object(text, max_position_bytes));
     routing_position position;
-    BOOST_OUTCOME_TRY(position.revision,
+    // Instances of earlier versions send no epoch.
+    if (object.contains("epoch"))
+    {
+        BOOST_OUTCOME_TRY(position.source.epoch,
+                          read_json_integer(object, "epoch", max_json_number));
+    }
+    BOOST_OUTCOME_TRY(position.source.revision,
                       read_json_integer(object, "revision", max_json_number));
     BOOST_OUTCOME_TRY(position.version,
                       read_json_integer(object, "version", max_json_number));
@@ -55,9 +63,12 @@
         co_return no_reader();
     const auto answer =
         co_await this->peers->call(reader, "routing.fetch", "{}");
-    if (!answer)
-        co_return answer.error();
-    co_return decode_snapshot(answer.value());
+    auto snapshot = answer ? decode_snapshot(answer.value())
+                           : result<routing_snapshot>(answer.error());
+    if (!snapshot ||
+        snapshot.value().position <= this->watcher->position().source)
+        this->peers->record_reader_failure(reader);
+    co_return snapshot;
 }
 
 asio::awaitable<result<routing_changes>>
@@ -67,13 +78,14 @@
     if (reader.empty())
         co_return no_reader();
     auto position = this->watcher->position();
-    position.revision = revision;
+    position.source.revision = revision;
     const auto parameters = encode_routing_position(position);
     const auto answer =
         co_await this->peers->call(reader, "routing.changes", parameters);
     auto changes = answer ? decode_changes(answer.value())
                           : result<routing_changes>(answer.error());
-    if (!changes || changes.value().is_history_lost)
+    // After a gap the snapshot of the same reader is read.
+    if (!changes)
         this->peers->record_reader_failure(reader);
     co_return changes;
 }
--- a/Programs/gateway/peer_source.hpp
+++ b/Programs/gateway/peer_source.hpp
@@ -24,6 +24,8 @@
 public:
     peer_source(peer_exchange& peers, const source_watcher& watcher);
 
+    // After a failure, or a snapshot that is not later than what is known, the
+    // next call asks another instance.
     boost::asio::awaitable<result<routing_snapshot>> read() override;
     // Returns without waiting for changes; `wait` is ignored. After a failure
     // the next call asks another instance.
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -62,7 +62,7 @@
 void source_watcher::adopt_snapshot(const routing_snapshot& snapshot,
                                     const std::string& peer)
 {
-    if (snapshot.position.revision <= this->known.revision)
+    if (snapshot.position <= this->known)
         return;
     log_event(log_level::info, "peer_routing_adopted",
               {{"peer", peer},
@@ -91,14 +91,17 @@
 routing_position source_watcher::position() const
 {
     const auto& routes = this->config.state->routes;
-    return {.revision = this->known.revision,
-            .version = routes ? routes->version() : 0};
+    return {.source = this->known, .version = routes ? routes->version() : 0};
 }
 
 routing_changes
 source_watcher::changes_since(const routing_position& other) const
 {
-    auto changes = this->change_log.since(other.revision);
+    routing_changes changes;
+    if (other.source.epoch == this->known.epoch)
+        changes = this->change_log.since(other.source.revision);
+    else
+        changes.is_history_lost = true;
     const auto own = this->position();
     changes.position = this->known;
     if (own.version > other.version)
@@ -106,9 +109,11 @@
     return changes;
 }
 
-std::uint64_t source_watcher::known_revision() const
+bool source_watcher::has_gap(const routing_changes& changes) const
 {
-    return this->has_snapshot ? this->known.revision : 0;
+    // A restored store may have reached the revision again, with other changes.
+    return changes.is_history_lost ||
+           changes.position.epoch != this->known.epoch;
 }
 
 bool source_watcher::is_source_reachable() const
@@ -182,7 +187,7 @@
                         changes ? "" : changes.error().message);
     if (!changes)
         co_return false;
-    if (changes.value().is_history_lost)
+    if (this->has_gap(changes.value()))
     {
         log_event(log_level::warning, "directory_history_lost",
                   {{"epoch", std::to_string(this->known.epoch)},
@@ -204,26 +209,42 @@
     {
         const auto changes = co_await this->config.peer->watch(
             this->known.revision, std::chrono::milliseconds(0));
-        if (changes && !changes.value().is_history_lost)
+        if (changes && !this->has_gap(changes.value()))
         {
             this->has_reachable_source = true;
             this->apply_changes(changes.value(), "peer");
             co_return true;
         }
+        if (changes && co_await this->read_peer())
+            co_return true;
         const bool has_no_reader =
             !changes && changes.error().kind == error_kind::no_configuration;
         if (has_no_reader)
             co_return false;
-        log_event(log_level::warning, "reader_lost",
-                  {{"reason",
-                    changes ? "the changes of the peer do not reach back to "
-                              "revision " +
-                                  std::to_string(this->known.revision)
-                            : changes.error().message}});
+        log_event(
+            log_level::warning, "reader_lost",
+            {{"reason", changes ? "the peer has neither the changes since "
+                                  "revision " +
+                                      std::to_string(this->known.revision) +
+                                      " nor a later snapshot"
+                                : changes.error().message}});
     }
     co_return false;
 }
 
+asio::awaitable<bool> source_watcher::read_peer()
+{
+    const auto before = this->known;
+    const auto snapshot = co_await this->config.peer->read();
+    if (!snapshot)
+        co_return false;
+    this->adopt_snapshot(snapshot.value(), "reader");
+    if (this->known <= before)
+        co_return false;
+    this->has_reachable_source = true;
+    co_return true;
+}
+
 void source_watcher::apply_changes(const routing_changes& changes,
                                    const std::string& origin)
 {
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -16,15 +16,6 @@
 namespace wisteriahatch
 {
 
-// How current the routing of an instance is.
-struct routing_position
-{
-    // Revision of the configuration source.
-    std::uint64_t revision = 0;
-    // Version of the routes; 0 when none are known.
-    std::uint64_t version = 0;
-};
-
 // Keeps the gateway's routes and upstreams in sync with its configuration
 // source. Runs on the gateway's worker.
 class source_watcher
@@ -65,18 +56,16 @@
     explicit source_watcher(options opts);
 
     void start();
-    // Adopts a peer's snapshot if its revision is newer.
+    // Adopts a peer's snapshot if its position is later.
     void adopt_snapshot(const routing_snapshot& snapshot,
                         const std::string& peer);
     // Returns the routes and upstreams that are known now.
     routing_snapshot snapshot() const;
-    // Returns the changes that an instance at this position lacks.
+    // Returns the changes that an instance at this position lacks. There is a
+    // gap in them when the position is of another epoch.
     routing_changes changes_since(const routing_position& other) const;
-    // Returns the position that is sent with a request for changes.
+    // Returns how current the routes and upstreams are.
     routing_position position() const;
-    // Revision of the source up to which changes are known; 0 without a
-    // snapshot.
-    std::uint64_t known_revision() const;
     // True when the latest call to the source succeeded, or a peer has answered
     // since.
     bool is_source_reachable() const;
@@ -90,6 +79,11 @@
     // Applies the changes that a peer knows. Returns false when there is no
     // peer to ask or none of those asked could answer.
     boost::asio::awaitable<bool> ask_peer();
+    // Adopts the snapshot of a peer whose changes have a gap. Returns whether
+    // it was later than what is known.
+    boost::asio::awaitable<bool> read_peer();
+    // True when the changes do not continue what is known.
+    bool has_gap(const routing_changes& changes) const;
     // Each of these calls the source, for a snapshot or for changes. Returns
     // whether the call succeeded.
     boost::asio::awaitable<bool> read();
--- a/StandIns/store/stand_in_store.cpp
+++ b/StandIns/store/stand_in_store.cpp
@@ -104,24 +104,37 @@
 {
     const std::lock_guard lock(this->mutex);
     const event change{
-        .revision = ++this->revision, .key = key, .value = value};
-    this->items[key] = change;
-    this->history.push_back(change);
+        .revision = ++this->data.revision, .key = key, .value = value};
+    this->data.items[key] = change;
+    this->data.history.push_back(change);
 }
 
 void stand_in_store::remove(const std::string& key)
 {
     const std::lock_guard lock(this->mutex);
-    if (this->items.erase(key) > 0)
-        this->history.push_back(
-            {.revision = ++this->revision, .key = key, .value = {}});
+    if (this->data.items.erase(key) > 0)
+        this->data.history.push_back(
+            {.revision = ++this->data.revision, .key = key, .value = {}});
 }
 
 void stand_in_store::forget_history()
 {
     const std::lock_guard lock(this->mutex);
-    this->history.clear();
-    this->history_start = ++this->revision;
+    this->data.history.clear();
+    this->data.history_start = ++this->data.revision;
+}
+
+void stand_in_store::save_copy()
+{
+    const std::lock_guard lock(this->mutex);
+    this->copy = this->data;
+}
+
+void stand_in_store::restore_copy()
+{
+    const std::lock_guard lock(this->mutex);
+    this->data = this->copy;
+    ++this->epoch;
 }
 
 void stand_in_store::set_mode(store_mode value)
@@ -149,20 +162,28 @@
     }
     constexpr unsigned status_limited = 429;
     constexpr unsigned status_busy = 503;
-    constexpr unsigned status_unknown = 404;
     if (current_mode == store_mode::busy)
         co_return make_status(status_busy);
     if (current_mode == store_mode::limited)
         co_return make_status(status_limited);
     if (current_mode == store_mode::silent)
         co_await sleep(silent_delay);
-    http_reply reply = make_status(status_unknown);
+    http_reply reply;
     if (current_mode == store_mode::garbled)
-    {
-        reply = {};
         reply.body = "no JSON";
-    }
-    else if (target.path == "/kv-key")
+    else
+        reply = co_await this->answer_read(target);
+    const std::lock_guard lock(this->mutex);
+    reply.headers.emplace_back("Store-Era", std::to_string(this->epoch));
+    co_return reply;
+}
+
+asio::awaitable<http_reply>
+stand_in_store::answer_read(const http_target& target)
+{
+    constexpr unsigned status_unknown = 404;
+    http_reply reply = make_status(status_unknown);
+    if (target.path == "/kv-key")
         reply = this->answer_key(target);
     else if (target.path == "/kv-range")
         reply = this->answer_range(target);
@@ -174,13 +195,13 @@
 http_reply stand_in_store::answer_key(const http_target& target) const
 {
     const std::lock_guard lock(this->mutex);
-    const auto found = this->items.find(parameter(target, "key"));
+    const auto found = this->data.items.find(parameter(target, "key"));
     constexpr unsigned status_unknown = 404;
-    if (found == this->items.end())
+    if (found == this->data.items.end())
         return make_status(status_unknown);
     auto body =
         encode_item(found->first, found->second.revision, found->second.value);
-    body["storeRevision"] = this->revision;
+    body["storeRevision"] = this->data.revision;
     return make_reply(body);
 }
 
@@ -191,8 +212,8 @@
     const auto after = parameter(target, "after");
     json::array list;
     bool has_more = false;
-    for (auto each = this->items.upper_bound(after); each != this->items.end();
-         ++each)
+    for (auto each = this->data.items.upper_bound(after);
+         each != this->data.items.end(); ++each)
     {
         if (!each->first.starts_with(prefix))
             continue;
@@ -204,7 +225,7 @@
     }
     return make_reply({{"items", std::move(list)},
                        {"hasMore", has_more},
-                       {"storeRevision", this->revision}});
+                       {"storeRevision", this->data.revision}});
 }
 
 asio::awaitable<http_reply> stand_in_store::answer_watch(http_target target)
@@ -238,10 +259,10 @@
 stand_in_store::events_after(std::uint64_t after, const std::string& prefix)
 {
     const std::lock_guard lock(this->mutex);
-    if (after < this->history_start)
+    if (after < this->data.history_start || after > this->data.revision)
         return std::nullopt;
     std::vector<event> events;
-    for (const auto& each : this->history)
+    for (const auto& each : this->data.history)
         if (each.revision > after && each.key.starts_with(prefix))
             events.push_back(each);
     return events;
--- a/StandIns/store/stand_in_store.hpp
+++ b/StandIns/store/stand_in_store.hpp
@@ -47,6 +47,10 @@
     void remove(const std::string& key);
     // Drops the event history. A watch from an earlier revision gets 410.
     void forget_history();
+    // Keeps a copy of the items, to which restore_copy() returns. Revisions are
+    // then given out again, and the epoch that every answer states rises.
+    void save_copy();
+    void restore_copy();
     void set_mode(store_mode mode);
     // Number of GET requests received so far.
     std::uint64_t calls() const;
@@ -60,7 +64,17 @@
         std::optional<std::string> value;
     };
 
+    // What a restoration brings back.
+    struct content
+    {
+        std::uint64_t revision = 1;
+        std::map<std::string, event> items;
+        std::vector<event> history;
+        std::uint64_t history_start = 0;
+    };
+
     boost::asio::awaitable<http_reply> handle(http_request request);
+    boost::asio::awaitable<http_reply> answer_read(const http_target& target);
     http_reply answer_key(const http_target& target) const;
     http_reply answer_range(const http_target& target) const;
     boost::asio::awaitable<http_reply> answer_watch(http_target target);
@@ -72,10 +86,9 @@
                                                    const std::string& prefix);
 
     mutable std::mutex mutex;
-    std::uint64_t revision = 1;
-    std::map<std::string, event> items;
-    std::vector<event> history;
-    std::uint64_t history_start = 0;
+    content data;
+    content copy;
+    std::uint64_t epoch = 1;
     store_mode mode = store_mode::normal;
     std::uint64_t call_count = 0;
     http_server server;
--- a/Tests/core/process/gossip_codec.cpp
+++ b/Tests/core/process/gossip_codec.cpp
@@ -26,6 +26,7 @@
                             .nonce = {1},
                             .epoch = 2,
                             .state = member_state::dead});
+    message.routing = {{.epoch = 2, .revision = 70}, 9};
     message.rate_limits = {{"i-1", 35.5, std::chrono::milliseconds(120), 3.25},
                            {"i-2", {}, std::chrono::milliseconds(0), {}}};
     message.rate_limits.resize(max_rate_limit_reports,
@@ -84,6 +85,8 @@
         {R"("leaving")", "1"},
         {R"("epoch":2,)", R"("epoch":-2,)"},
         {R"("age_ms":120)", R"("age_ms":-120)"},
+        {R"("routing":{)", R"("routing":[],"x":{)"},
+        {R"("revision":70)", R"("revision":-70)"},
         {R"("per_second":3.55E1)", R"("per_second":-1)"},
         {R"("upstream":"i-1")", R"("upstream":1)"},
         {R"("epoch":2,)", R"("epoch":9007199254740993,)"},
--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -122,3 +122,174 @@
     }
     CHECK(this->ask("GET", "/p/x").result_int() == 200);
 }
+
+// Guards against an instance that does not notice that the store was restored
+// from an older copy, and misses what was written since: a removed server stays
+// in use, a new one is unknown, or routes return to an older version.
+TEST_CASE_FIXTURE(gateway_fixture, "a restored store is read again")
+{
+    struct scenario
+    {
+        const char* name;
+        // Changes after the restoration, before the instance asks again. Three
+        // lead to the revision that it knows.
+        unsigned changes;
+    };
+    unsigned version = 1;
+    this->put_config(version, 0);
+    this->add_server("plain", "i-1");
+    this->wait_for(1, version);
+    for (const auto& each :
+         {scenario{"earlier revision", 0}, scenario{"same revision", 3},
+          scenario{"later revision", 9}})
+    {
+        CAPTURE(each.name);
+        const auto suffix = std::to_string(each.changes);
+        this->add_server("plain", "i-left" + suffix);
+        this->wait_for(2, version);
+        this->store.save_copy();
+        const auto confirmed = version + 2;
+        this->put_config(version + 1, 0);
+        this->put_config(confirmed, 0);
+        this->store.put("op/other", "x");
+        this->wait_for(2, confirmed);
+        this->store.set_mode(store_mode::busy);
+        std::this_thread::sleep_for(100ms);
+        this->store.restore_copy();
+        this->store.remove("servers/i-left" + suffix);
+        for (unsigned change = 1; change < each.changes; ++change)
+            this->store.put("op/other", std::to_string(change));
+        this->store.set_mode(store_mode::normal);
+        // The registry keeps the removed server as a last resort for a time,
+        // but does not list it.
+        this->wait_for(1, confirmed);
+        version = confirmed + 1;
+        this->put_config(version, 0);
+        this->wait_for(1, version);
+    }
+}
+
+// Guards against upstreams from before a restoration of the source that replace
+// later ones because their revision is higher (rule DRAIN: instances returned
+// to them again and again, day restored-cuts).
+TEST_CASE_FIXTURE(gateway_fixture, "a later epoch goes before a revision")
+{
+    const auto make_snapshot = [](source_position position, const char* id)
+    {
+        routing_snapshot snapshot;
+        snapshot.position = position;
+        snapshot.upstreams = {
+            {.id = id, .service = "plain", .address = "127.0.0.1:9"}};
+        return snapshot;
+    };
+    struct scenario
+    {
+        source_position position;
+        const char* id;
+        bool is_adopted;
+    };
+    this->store.set_mode(store_mode::busy);
+    for (const auto& each :
+         {scenario{{1, 90}, "i-1", true}, scenario{{1, 80}, "i-2", false},
+          scenario{{2, 67}, "i-3", true}, scenario{{1, 92}, "i-4", false},
+          scenario{{2, 67}, "i-5", false}, scenario{{2, 68}, "i-6", true}})
+    {
+        CAPTURE(each.id);
+        const auto is_listed = this->on_worker(
+            [&]
+            {
+                this->watcher->adopt_snapshot(
+                    make_snapshot(each.position, each.id), "peer");
+                return this->state.upstreams.listed()[0].id == each.id;
+            });
+        CHECK(is_listed == each.is_adopted);
+    }
+    for (const auto& [asker, has_gap] :
+         {std::pair(source_position{2, 68}, false),
+          std::pair(source_position{2, 99}, false),
+          std::pair(source_position{1, 92}, true),
+          std::pair(source_position{3, 1}, true)})
+        CHECK(this->on_worker(
+                  [&]
+                  {
+                      return this->watcher
+                          ->changes_since({.source = asker, .version = 0})
+                          .is_history_lost;
+                  }) == has_gap);
+}
+
+namespace
+{
+
+// A peer whose changes have a gap, and which has a snapshot.
+class peer_with_gap : public configuration_source
+{
+public:
+    boost::asio::awaitable<result<routing_snapshot>> read() override
+    {
+        ++this->reads;
+        co_return this->snapshot;
+    }
+
+    boost::asio::awaitable<result<routing_changes>>
+    watch(std::uint64_t, std::chrono::milliseconds) override
+    {
+        routing_changes changes;
+        changes.position = this->snapshot.position;
+        co_return changes;
+    }
+
+    routing_snapshot snapshot;
+    std::atomic<unsigned> reads{0};
+};
+
+}
+
+// Guards against an instance that asks a reader in a later epoch, hears of no
+// change and keeps servers that have left (rule DRAIN, two of nine instances on
+// day restored-cuts), and against one that reads the store itself each time.
+TEST_CASE_FIXTURE(gateway_fixture, "a reader in a later epoch is followed")
+{
+    struct scenario
+    {
+        source_position reader;
+        std::string expected;
+    };
+    peer_with_gap peer;
+    source_watcher asker({.worker = &this->workers.at(0),
+                          .source = &*this->client,
+                          .peer = &peer,
+                          .state = &this->state,
+                          .upstreams = &*this->pool});
+    this->store.set_mode(store_mode::busy);
+    std::this_thread::sleep_for(100ms);
+    const auto make_list = [](const std::string& id)
+    {
+        return std::vector<upstream_spec>{
+            {.id = id, .service = "plain", .address = "127.0.0.1:9"}};
+    };
+    this->on_worker(
+        [&]
+        {
+            routing_snapshot known;
+            known.position = {1, 92};
+            known.upstreams = make_list("i-left");
+            asker.adopt_snapshot(known, "peer");
+            peer.snapshot.position = {2, 67};
+            peer.snapshot.upstreams = make_list("i-new");
+            asker.start();
+            return 0;
+        });
+    CHECK(wait_until(
+        [&]
+        {
+            return this->on_worker(
+                [&]
+                { return this->state.upstreams.listed()[0].id == "i-new"; });
+        }));
+    CHECK(this->on_worker([&] { return asker.position().source; }) ==
+          source_position{2, 67});
+    CHECK(peer.reads == 1);
+    // The watcher must outlive the worker's last use of it.
+    this->workers.stop();
+}
