core, gateway: Take routes that others have had for some time

Callers would get the answers of the older version, or 404 for a route that had been added.

Cause: routes were tied to the position of the source, although versions are in order of their own and never decrease.

The test 'newer routes of an older epoch are adopted' fails without the change.

--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -231,7 +231,10 @@
         now - state.last_source_contact > source_silence_timeout ||
         !this->config.watcher->is_source_reachable();
     const bool is_later = theirs.source > own.source && is_silent;
-    if (!is_later || now - this->last_snapshot < snapshot_interval)
+    const bool has_missed_routes =
+        this->route_lag.update(own.version, theirs.version, now);
+    if ((!is_later && !has_missed_routes) ||
+        now - this->last_snapshot < snapshot_interval)
         return;
     this->last_snapshot = now;
     this->peers.call(
--- a/Programs/gateway/peer_exchange.hpp
+++ b/Programs/gateway/peer_exchange.hpp
@@ -4,6 +4,7 @@
 #include "core/process/fleet_size_estimate.hpp"
 #include "core/process/membership.hpp"
 #include "core/process/reader_selection.hpp"
+#include "core/process/version_lag.hpp"
 #include "gateway_state.hpp"
 #include "net/http_server.hpp"
 #include "peers/peer_client.hpp"
@@ -88,7 +89,7 @@
     void handle_answer(const std::string& address,
                        const result<std::string>& answer);
     // Fetches the sender's snapshot if it is later and the source does not
-    // answer.
+    // answer, or if the sender has had newer routes for some time.
     void fetch_if_newer(const gossip_message& message);
     void adopt(const std::string& address, const result<std::string>& answer);
     boost::asio::awaitable<void> run_timer();
@@ -101,6 +102,7 @@
     fleet_size_estimate fleet;
     time_point next_fleet_update{};
     reader_selection readers;
+    version_lag route_lag;
 };
 
 }
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -62,6 +62,8 @@
 void source_watcher::adopt_snapshot(const routing_snapshot& snapshot,
                                     const std::string& peer)
 {
+    // Versions of the routes are in order across restorations of the source.
+    this->adopt_routes(snapshot.routes, peer);
     if (snapshot.position <= this->known)
         return;
     log_event(log_level::info, "peer_routing_adopted",
@@ -74,7 +76,6 @@
     this->change_log.reset(this->known.revision);
     // The source can be watched from the peer's revision on, as after a read.
     this->has_snapshot = true;
-    this->adopt_routes(snapshot.routes, peer);
     if (this->config.state->upstreams.replace_all(snapshot.upstreams,
                                                   clock_now()))
         this->publish_upstreams();
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -56,7 +56,8 @@
     explicit source_watcher(options opts);
 
     void start();
-    // Adopts a peer's snapshot if its position is later.
+    // Adopts a peer's upstreams if its position is later, and its routes if
+    // their version is newer.
     void adopt_snapshot(const routing_snapshot& snapshot,
                         const std::string& peer);
     // Returns the routes and upstreams that are known now.
--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -218,6 +218,24 @@
                   }) == has_gap);
 }
 
+// Guards against a version that was confirmed and is lost in one instance
+// although others still know it.
+TEST_CASE_FIXTURE(gateway_fixture, "newer routes of an older epoch are adopted")
+{
+    this->put_config(3, 0);
+    this->wait_for(0, 3);
+    routing_snapshot snapshot;
+    snapshot.routes =
+        std::make_shared<const route_table>(route_table::options{.version = 5});
+    this->on_worker(
+        [&]
+        {
+            this->watcher->adopt_snapshot(snapshot, "peer");
+            return 0;
+        });
+    this->wait_for(0, 5);
+}
+
 namespace
 {
 
