core: Hold back upstreams that a restored directory lists again

A directory that was restored from a copy lists upstreams as ready that had left since. An instance that had dropped them put them into use again at once, until their entries expired or they said again that they leave; an upstream whose address had been taken over got requests, too.

Cause: the registry forgets an upstream when its grace period has passed, and takes any entry for news. It now remembers the last statement (start and sequence) of each upstream that has left for five minutes. A ready entry that is not newer is held back for six seconds, in which an upstream that is leaving says so again and the entry of one that has stopped expires; then it is used, so that a running upstream is never lost for good.

The two new tests of core/process/upstream_registry fail when no entry counts as outdated. An instance that starts after the restoration has no such memory.

--- a/Libraries/core/process/upstream_registry.cpp
+++ b/Libraries/core/process/upstream_registry.cpp
@@ -9,6 +9,40 @@
 
 bool upstream_registry::set(const upstream_spec& spec, time_point now)
 {
+    if (!this->is_outdated(spec))
+    {
+        this->held_back.erase(spec.id);
+        return this->add(spec, now);
+    }
+    this->held_back.try_emplace(
+        spec.id, held_upstream{.spec = spec, .usable_at = now + hold_time});
+    return false;
+}
+
+bool upstream_registry::is_outdated(const upstream_spec& spec) const
+{
+    const auto found = this->departures.find(spec.id);
+    // A leaving upstream says so again with the same or a later statement.
+    return found != this->departures.end() && spec.sequence > 0 &&
+           !spec.is_draining && found->second.start == spec.start &&
+           spec.sequence <= found->second.sequence;
+}
+
+void upstream_registry::record_departure(const upstream_spec& spec,
+                                         time_point now)
+{
+    this->departures.insert_or_assign(spec.id,
+                                      departure{.start = spec.start,
+                                                .sequence = spec.sequence,
+                                                .left_at = now});
+}
+
+bool upstream_registry::add(const upstream_spec& spec, time_point now)
+{
+    if (spec.is_draining)
+        this->record_departure(spec, now);
+    else
+        this->departures.erase(spec.id);
     const auto found = this->upstreams.find(spec.id);
     const bool is_known = found != this->upstreams.end();
     // It is unknown how long it has been draining; it may be about to stop.
@@ -44,9 +78,13 @@
 
 bool upstream_registry::remove(std::string_view id, time_point now)
 {
+    if (const auto held = this->held_back.find(id);
+        held != this->held_back.end())
+        this->held_back.erase(held);
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end() || found->second->leaving_since)
         return false;
+    this->record_departure(found->second->spec, now);
     auto entry = std::make_shared<registered_upstream>(*found->second);
     entry->leaving_since = now;
     this->drop(*found->second);
@@ -68,6 +106,9 @@
     for (const auto& [id, entry] : this->upstreams)
         if (!listed.contains(id))
             missing.push_back(id);
+    for (const auto& [id, held] : this->held_back)
+        if (!listed.contains(id))
+            missing.push_back(id);
     for (const auto& id : missing)
         has_changed = this->remove(id, now) || has_changed;
     return has_changed;
@@ -82,7 +123,23 @@
             expired.push_back(entry);
     for (const auto& entry : expired)
         this->drop(*entry);
-    return !expired.empty();
+    std::erase_if(this->departures, [now](const auto& each)
+                  { return each.second.left_at + departure_memory <= now; });
+    return this->release_held(now) || !expired.empty();
+}
+
+bool upstream_registry::release_held(time_point now)
+{
+    std::vector<upstream_spec> usable;
+    for (const auto& [id, held] : this->held_back)
+        if (held.usable_at <= now)
+            usable.push_back(held.spec);
+    for (const auto& spec : usable)
+    {
+        this->held_back.erase(spec.id);
+        this->add(spec, now);
+    }
+    return !usable.empty();
 }
 
 std::optional<time_point> upstream_registry::next_expiry() const
@@ -92,6 +149,8 @@
         if (entry->leaving_since &&
             (!next || *entry->leaving_since + leaving_grace < *next))
             next = *entry->leaving_since + leaving_grace;
+    for (const auto& [id, held] : this->held_back)
+        next = std::min(held.usable_at, next.value_or(held.usable_at));
     return next;
 }
 
@@ -114,9 +173,16 @@
     for (const auto& [id, entry] : this->upstreams)
         if (!entry->leaving_since || entry->spec.is_draining)
             specs.push_back(entry->spec);
+    for (const auto& [id, held] : this->held_back)
+        specs.push_back(held.spec);
     return specs;
 }
 
+std::size_t upstream_registry::held() const
+{
+    return this->held_back.size();
+}
+
 const std::map<std::string, registered_upstream_ptr, std::less<>>&
 upstream_registry::all() const
 {
--- a/Libraries/core/process/upstream_registry.hpp
+++ b/Libraries/core/process/upstream_registry.hpp
@@ -6,6 +6,7 @@
 #include "core/connection/upstream_state.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -57,7 +58,9 @@
 
 // The upstreams of all services, updated from a watched directory. An entry
 // that disappears is kept for a grace period, because entries expire during an
-// outage of the directory and reappear soon after it recovers. Not thread-safe.
+// outage of the directory and reappear soon after it recovers. An entry that is
+// older than what was known when the upstream left, as in a directory that was
+// restored from a copy, is held back for some time. Not thread-safe.
 class upstream_registry
 {
 public:
@@ -65,6 +68,12 @@
     // directory reported it; expired entries reappear two seconds after the
     // directory recovers.
     static constexpr std::chrono::milliseconds leaving_grace{2000};
+    // How long an outdated entry of an upstream that has left is held back. An
+    // upstream that is leaving states that again, and the entry of one that has
+    // stopped expires, within three intervals of its statements.
+    static constexpr std::chrono::milliseconds hold_time{6000};
+    // How long it is remembered that an upstream has left.
+    static constexpr std::chrono::minutes departure_memory{5};
 
     // set(), remove(), replace_all() and expire() return whether the upstreams
     // changed. An unknown upstream that is draining is ignored.
@@ -72,7 +81,8 @@
     bool remove(std::string_view id, time_point now);
     // Applies a complete list; upstreams that it lacks are removed.
     bool replace_all(const std::vector<upstream_spec>& specs, time_point now);
-    // Drops the upstreams whose grace period has passed.
+    // Drops the upstreams whose grace period has passed, and adds the held ones
+    // whose time is over.
     bool expire(time_point now);
 
     // When to call expire() next.
@@ -82,18 +92,45 @@
     // The upstreams by service; services without upstreams are absent.
     const std::map<std::string, upstream_group, std::less<>>&
     by_service() const;
-    // The upstreams that the directory lists now, without removed ones.
+    // The upstreams that the directory lists now, without removed ones. Other
+    // instances decide for themselves which of them are outdated.
     std::vector<upstream_spec> listed() const;
+    // Number of upstreams that are held back.
+    std::size_t held() const;
     // All upstreams by id, including leaving ones.
     const std::map<std::string, registered_upstream_ptr, std::less<>>&
     all() const;
 
 private:
+    // The last statement of an upstream that has left.
+    struct departure
+    {
+        incarnation start;
+        std::uint64_t sequence = 0;
+        time_point left_at;
+    };
+
+    struct held_upstream
+    {
+        upstream_spec spec;
+        time_point usable_at;
+    };
+
+    // True when the entry is older than the upstream's own statement that was
+    // known when it left.
+    bool is_outdated(const upstream_spec& spec) const;
+    bool add(const upstream_spec& spec, time_point now);
+    // Adds the held upstreams whose time is over; returns whether there were
+    // any.
+    bool release_held(time_point now);
+    void record_departure(const upstream_spec& spec, time_point now);
     void put(const std::shared_ptr<registered_upstream>& entry);
     void drop(const registered_upstream& entry);
 
     std::map<std::string, registered_upstream_ptr, std::less<>> upstreams;
     std::map<std::string, upstream_group, std::less<>> groups;
+    std::map<std::string, departure, std::less<>> departures;
+    std::map<std::string, held_upstream, std::less<>> held_back;
 };
 
 }
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -171,11 +171,11 @@
     if (this->config.state->upstreams.replace_all(snapshot.value().upstreams,
                                                   clock_now()))
         this->publish_upstreams();
-    log_event(
-        log_level::info, "directory_read",
-        {{"epoch", std::to_string(this->known.epoch)},
-         {"revision", std::to_string(this->known.revision)},
-         {"upstreams", std::to_string(snapshot.value().upstreams.size())}});
+    log_event(log_level::info, "directory_read",
+              {{"epoch", std::to_string(this->known.epoch)},
+               {"revision", std::to_string(this->known.revision)},
+               {"upstreams", std::to_string(snapshot.value().upstreams.size())},
+               {"held", std::to_string(this->config.state->upstreams.held())}});
     this->arm_expiry();
     co_return true;
 }
--- a/Tests/core/process/upstream_registry.cpp
+++ b/Tests/core/process/upstream_registry.cpp
@@ -1,6 +1,9 @@
 #include "core/process/upstream_registry.hpp"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <string>
+#include <vector>
 
 using namespace wisteriahatch;
 using namespace std::chrono_literals;
@@ -113,3 +116,113 @@
     CHECK_FALSE(
         registry.replace_all({make_spec("b"), make_spec("c")}, start + 2s));
 }
+
+// Guards against an upstream that had left and is used again, because the
+// directory was restored from a copy in which it is ready (an operator of a
+// similar system saw this after a restart).
+TEST_CASE("an outdated entry of an upstream that has left is held back")
+{
+    struct scenario
+    {
+        std::string name;
+        // Whether the upstream left by a statement of its own.
+        bool has_drained;
+        incarnation start;
+        std::uint64_t sequence;
+        bool is_used;
+    };
+    for (const auto& each : std::vector<scenario>{
+             {"drained, older", true, {1}, 3, false},
+             {"drained, same statement", true, {1}, 7, false},
+             {"drained, new start", true, {2}, 1, true},
+             {"removed, older", false, {1}, 1, false},
+             {"removed, same statement", false, {1}, 3, false},
+             {"removed, it has registered again", false, {1}, 4, true},
+             {"removed, unknown sequence", false, {1}, 0, true}})
+        for (const duration since : {duration(1s), duration(1min)})
+        {
+            CAPTURE(each.name);
+            upstream_registry registry;
+            auto spec = make_spec("u");
+            spec.sequence = 3;
+            registry.set(spec, start);
+            if (each.has_drained)
+            {
+                spec.sequence = 7;
+                spec.is_draining = true;
+                registry.set(spec, start + 1s);
+            }
+            else
+                registry.remove("u", start + 1s);
+            const auto now = start + 1s + since;
+            registry.expire(now);
+            auto restored = make_spec("u");
+            restored.start = each.start;
+            restored.sequence = each.sequence;
+            registry.replace_all({restored}, now);
+            const auto& group = registry.group("s");
+            const bool is_used = !group.empty() && !group[0]->leaving_since;
+            CHECK(is_used == each.is_used);
+            CHECK(registry.held() == (each.is_used ? 0 : 1));
+            const auto listed = registry.listed();
+            CHECK(std::ranges::find(listed, restored) != listed.end());
+        }
+}
+
+// Guards against an upstream that is never used again although it runs, and
+// against one that is used although its entry has gone in the meantime.
+TEST_CASE("what happens to an upstream that is held back")
+{
+    struct scenario
+    {
+        std::string name;
+        void (*change)(upstream_registry& registry);
+        duration after;
+        bool is_used;
+    };
+    for (const auto& each :
+         std::vector<scenario>{
+             {"nothing yet", [](upstream_registry&) {}, 5900ms, false},
+             {"nothing", [](upstream_registry&) {}, 6000ms, true},
+             {"its entry goes",
+              [](upstream_registry& registry)
+              { registry.remove("u", start + 13s); },
+              6000ms, false},
+             {"a list lacks it",
+              [](upstream_registry& registry)
+              { registry.replace_all({}, start + 13s); },
+              6000ms, false},
+             {"it says that it leaves",
+              [](upstream_registry& registry)
+              {
+                  auto spec = make_spec("u");
+                  spec.sequence = 9;
+                  spec.is_draining = true;
+                  registry.set(spec, start + 13s);
+              },
+              6000ms, false},
+             {"it registers again",
+              [](upstream_registry& registry)
+              {
+                  auto spec = make_spec("u");
+                  spec.sequence = 9;
+                  registry.set(spec, start + 13s);
+              },
+              3000ms, true}})
+    {
+        CAPTURE(each.name);
+        upstream_registry registry;
+        auto spec = make_spec("u");
+        spec.sequence = 3;
+        registry.set(spec, start);
+        registry.remove("u", start + 1s);
+        registry.expire(start + 10s);
+        registry.set(spec, start + 12s);
+        CHECK(registry.next_expiry() == start + 12s + registry.hold_time);
+        // The same entry is read again.
+        registry.set(spec, start + 12500ms);
+        each.change(registry);
+        registry.expire(start + 12s + each.after);
+        CHECK(registry.group("s").empty() != each.is_used);
+    }
+}
