core, gateway: Name the failure domain in rate limit reports

An instance that had heard of a limit only by gossip did not know the upstream's failure domain, chose the holders without it, and could take itself for one that has no demand. Real holders then used its share: in a fleet larger than the limit the shares could add up to nearly twice what they should. Small fleets were not affected, since every instance is a holder there.

Reports name the failure domain, so that all instances choose the same holders.

The test 'instances agree on the holders without having chosen the upstream' fails when the name is dropped. The use of limits is logged only for upstreams that were chosen in that second, and record() and adopt() are one function.

--- a/Libraries/core/process/gossip_codec.cpp
+++ b/Libraries/core/process/gossip_codec.cpp
@@ -148,6 +148,7 @@
 {
     boost::json::object object;
     object["upstream"] = report.upstream;
+    object["failure_domain"] = report.failure_domain;
     if (report.per_second)
         object["per_second"] = *report.per_second;
     object["age_ms"] = report.age.count();
@@ -177,6 +178,9 @@
     rate_limit_report report;
     BOOST_OUTCOME_TRY(report.upstream, read_json_text(*object, "upstream",
                                                       max_upstream_id_bytes));
+    BOOST_OUTCOME_TRY(
+        report.failure_domain,
+        read_json_text(*object, "failure_domain", max_name_bytes));
     BOOST_OUTCOME_TRY(report.per_second, decode_rate(*object, "per_second"));
     BOOST_OUTCOME_TRY(report.age,
                       read_json_milliseconds(*object, "age_ms", max_age_ms));
--- a/Libraries/core/process/rate_limit_report.hpp
+++ b/Libraries/core/process/rate_limit_report.hpp
@@ -14,6 +14,8 @@
 struct rate_limit_report
 {
     std::string upstream;
+    // The upstream's, so that all instances agree on who has a share.
+    std::string failure_domain;
     // Requests a second from all instances together; empty when the limit has
     // ended.
     std::optional<double> per_second;
--- a/Libraries/core/process/upstream_rate_limits.cpp
+++ b/Libraries/core/process/upstream_rate_limits.cpp
@@ -14,20 +14,13 @@
 
 }
 
-bool upstream_rate_limits::record(std::string_view upstream,
-                                  std::optional<double> per_second,
-                                  time_point now)
-{
-    return this->adopt(upstream, per_second, now);
-}
-
-bool upstream_rate_limits::merge(const rate_limit_report& report,
+bool upstream_rate_limits::merge(rate_limit_report report,
                                  std::string_view reporter, time_point now)
 {
     if (report.age < duration::zero() || report.age >= statement_lifetime)
         return false;
-    const bool has_changed = this->adopt(report.upstream, report.per_second,
-                                         now - report.age - transit_allowance);
+    report.age += transit_allowance;
+    const bool has_changed = this->record(report, now);
     auto* entry = this->find_limited(report.upstream);
     if (entry == nullptr || !report.demand)
         return has_changed;
@@ -56,6 +49,7 @@
         auto& [id, entry] = *next;
         rate_limit_report report{
             .upstream = id,
+            .failure_domain = entry.failure_domain,
             .per_second = entry.per_second,
             .age = std::chrono::duration_cast<std::chrono::milliseconds>(
                 now - entry.stated_at)};
@@ -90,11 +84,6 @@
     auto* entry = this->find_limited(upstream.spec.id);
     if (entry == nullptr)
         return true;
-    if (entry->failure_domain != upstream.spec.failure_domain)
-    {
-        entry->failure_domain = upstream.spec.failure_domain;
-        entry->fleet_change = 0;
-    }
     this->add_demand(*entry, now);
     this->update_share(upstream.spec.id, *entry, now);
     if (entry->is_holder && entry->saved >= 1)
@@ -162,27 +151,30 @@
     return is_limited ? &found->second : nullptr;
 }
 
-bool upstream_rate_limits::adopt(std::string_view upstream,
-                                 std::optional<double> per_second,
-                                 time_point stated_at)
+bool upstream_rate_limits::record(const rate_limit_report& report,
+                                  time_point now)
 {
-    const auto found = this->upstreams.find(upstream);
-    if (found != this->upstreams.end())
+    const auto stated_at = now - report.age;
+    const auto found = this->upstreams.find(report.upstream);
+    if (found == this->upstreams.end())
     {
-        auto& entry = found->second;
-        if (stated_at <= entry.stated_at)
+        if (!report.per_second || this->upstreams.size() >= max_upstreams)
             return false;
-        entry.stated_at = stated_at;
-        if (entry.per_second == per_second)
-            return false;
-        entry.per_second = per_second;
-        entry.fleet_change = 0;
+        this->upstreams.emplace(
+            report.upstream,
+            limited_upstream{.per_second = report.per_second,
+                             .stated_at = stated_at,
+                             .failure_domain = report.failure_domain});
         return true;
     }
-    if (!per_second || this->upstreams.size() >= max_upstreams)
+    auto& entry = found->second;
+    if (stated_at <= entry.stated_at)
+        return false;
+    entry.stated_at = stated_at;
+    if (entry.per_second == report.per_second)
         return false;
-    this->upstreams.emplace(upstream, limited_upstream{.per_second = per_second,
-                                                       .stated_at = stated_at});
+    entry.per_second = report.per_second;
+    entry.fleet_change = 0;
     return true;
 }
 
--- a/Libraries/core/process/upstream_rate_limits.hpp
+++ b/Libraries/core/process/upstream_rate_limits.hpp
@@ -68,13 +68,12 @@
     // outlive a later one.
     static constexpr std::chrono::milliseconds transit_allowance{20};
 
-    // Records the limit that a reply of the upstream stated; empty when it
-    // stated none. Returns whether the limit has changed.
-    bool record(std::string_view upstream, std::optional<double> per_second,
-                time_point now);
+    // Records what an upstream has stated, unless a later statement is known.
+    // Returns whether the limit has changed.
+    bool record(const rate_limit_report& report, time_point now);
     // Records what another instance reported. Returns whether the limit has
     // changed.
-    bool merge(const rate_limit_report& report, std::string_view reporter,
+    bool merge(rate_limit_report report, std::string_view reporter,
                time_point now);
     // Returns up to `max_reports` reports for another instance. Successive
     // calls take turns through all upstreams.
@@ -132,10 +131,6 @@
     };
 
     limited_upstream* find_limited(std::string_view upstream);
-    // Adopts a statement if it is newer than the known one. Returns whether the
-    // limit has changed.
-    bool adopt(std::string_view upstream, std::optional<double> per_second,
-               time_point stated_at);
     void add_demand(limited_upstream& entry, time_point now) const;
     static double demand_at(const limited_upstream& entry, time_point now);
     // Returns this instance's demand relative to the average of those known.
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -135,7 +135,7 @@
              .handle_fleet_size = [this](const fleet_size& size)
              { this->set_fleet_size(size); },
              .handle_rate_limit = [](const rate_limit_report& report)
-             { log_rate_limit(report.upstream, report.per_second, "peer"); }})
+             { log_rate_limit(report, "peer"); }})
     , reader(this->peers, this->watcher)
     , requests({.worker = &this->workers.at(0),
                 .state = &this->state,
@@ -379,6 +379,9 @@
 {
     this->state.rate_limits.expire(std::chrono::steady_clock::now());
     for (const auto& use : this->state.rate_limits.take_use())
+    {
+        if (use.first_sends + use.repeats + use.withheld == 0)
+            continue;
         log_event(log_level::info, "upstream_limit_use",
                   {{"upstream", use.upstream},
                    {"per_second", std::to_string(use.per_second)},
@@ -386,6 +389,7 @@
                    {"first_sends", std::to_string(use.first_sends)},
                    {"repeats", std::to_string(use.repeats)},
                    {"withheld", std::to_string(use.withheld)}});
+    }
     this->rate_limit_timer.expires_after(rate_limit_log_interval);
     this->rate_limit_timer.async_wait(
         [this](boost::system::error_code failure)
--- a/Programs/gateway/request_log.cpp
+++ b/Programs/gateway/request_log.cpp
@@ -148,14 +148,13 @@
                {"left_out", std::to_string(*left_out)}});
 }
 
-void log_rate_limit(std::string_view upstream, std::optional<double> per_second,
-                    std::string_view origin)
+void log_rate_limit(const rate_limit_report& report, std::string_view origin)
 {
-    log_event(
-        log_level::info, "upstream_limit_changed",
-        {{"upstream", std::string(upstream)},
-         {"per_second", per_second ? std::to_string(*per_second) : "none"},
-         {"origin", std::string(origin)}});
+    const auto& limit = report.per_second;
+    log_event(log_level::info, "upstream_limit_changed",
+              {{"upstream", report.upstream},
+               {"per_second", limit ? std::to_string(*limit) : "none"},
+               {"origin", std::string(origin)}});
 }
 
 }
--- a/Programs/gateway/request_log.hpp
+++ b/Programs/gateway/request_log.hpp
@@ -2,13 +2,13 @@
 #define WISTERIAHATCH_GATEWAY_REQUEST_LOG_HPP
 
 #include "core/process/log_rate_limiter.hpp"
+#include "core/process/rate_limit_report.hpp"
 #include "core/request/request_schedule.hpp"
 #include "core/version/route_table.hpp"
 #include "net/http_server.hpp"
 #include "request_session.hpp"
 #include "telemetry/forwarding_metrics.hpp"
 
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -41,10 +41,8 @@
     duration elapsed{0};
 };
 
-// Logs a changed rate limit; `per_second` is empty when it has ended. `origin`
-// says who reported it.
-void log_rate_limit(std::string_view upstream, std::optional<double> per_second,
-                    std::string_view origin);
+// Logs a changed rate limit. `origin` says who reported it.
+void log_rate_limit(const rate_limit_report& report, std::string_view origin);
 
 // Logs and counts the outcome of each request. Requests that were answered
 // completely, within the target latency and without a repeat are routine; all
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -182,8 +182,7 @@
     if (ended.empty())
         return;
     if (result)
-        this->record_rate_limit(ended.mapped().upstream->spec.id,
-                                result.value());
+        this->record_rate_limit(ended.mapped().upstream->spec, result.value());
     if (ended.mapped().is_released || this->has_ended)
         return;
     // classify() moves the reply away when it keeps it.
@@ -244,14 +243,17 @@
     text += spec.id + ":" + std::string(to_string(end));
 }
 
-void request_session::record_rate_limit(const std::string& upstream,
+void request_session::record_rate_limit(const upstream_spec& upstream,
                                         const upstream_reply& reply)
 {
     const auto statement = this->config.dialect->read_rate_limit(reply);
-    if (!statement || !this->config.rate_limits->record(
-                          upstream, statement->per_second, clock_now()))
+    if (!statement)
         return;
-    log_rate_limit(upstream, statement->per_second, "reply");
+    const rate_limit_report report{.upstream = upstream.id,
+                                   .failure_domain = upstream.failure_domain,
+                                   .per_second = statement->per_second};
+    if (this->config.rate_limits->record(report, clock_now()))
+        log_rate_limit(report, "reply");
 }
 
 void request_session::handle_caller_disconnect()
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -101,7 +101,7 @@
     void record(const running_call& call, attempt_outcome end,
                 std::string_view reason);
     // Records what the reply says about the upstream's rate limit.
-    void record_rate_limit(const std::string& upstream,
+    void record_rate_limit(const upstream_spec& upstream,
                            const upstream_reply& reply);
     void handle_caller_disconnect();
     void cancel_released();
--- a/Tests/core/process/gossip_codec.cpp
+++ b/Tests/core/process/gossip_codec.cpp
@@ -27,10 +27,11 @@
                             .epoch = 2,
                             .state = member_state::dead});
     message.routing = {{.epoch = 2, .revision = 70}, 9};
-    message.rate_limits = {{"i-1", 35.5, std::chrono::milliseconds(120), 3.25},
-                           {"i-2", {}, std::chrono::milliseconds(0), {}}};
+    message.rate_limits = {
+        {"i-1", "z", 35.5, std::chrono::milliseconds(120), 3.25},
+        {"i-2", "", {}, std::chrono::milliseconds(0), {}}};
     message.rate_limits.resize(max_rate_limit_reports,
-                               {std::string(200, 'u'), 1.0 / 3,
+                               {std::string(200, 'u'), "jm-kgn", 1.0 / 3,
                                 std::chrono::milliseconds(30000), 1.0 / 7});
     message.bucket = 63;
     message.buckets.emplace().fill(0xfffffffffffffff1);
--- a/Tests/core/process/upstream_rate_limits.cpp
+++ b/Tests/core/process/upstream_rate_limits.cpp
@@ -24,6 +24,14 @@
 constexpr double tolerance = 1.5;
 constexpr double slack = 5;
 
+rate_limit_report make_statement(std::optional<double> per_second,
+                                 std::string upstream = "u")
+{
+    return {.upstream = std::move(upstream),
+            .failure_domain = "z0",
+            .per_second = per_second};
+}
+
 enum class demand_shape : std::uint8_t
 {
     even,
@@ -214,11 +222,11 @@
                 continue;
             auto& receiver = this->instances[next.instance];
             const bool is_limited = now < start + this->config.limit_ends;
-            receiver.limits.record("u",
-                                   is_limited
-                                       ? std::optional(this->config.per_second)
-                                       : std::nullopt,
-                                   now);
+            receiver.limits.record(
+                make_statement(is_limited
+                                   ? std::optional(this->config.per_second)
+                                   : std::nullopt),
+                now);
             if (is_limited && !receiver.told_at)
                 receiver.told_at = now;
         }
@@ -369,18 +377,18 @@
     };
     for (const auto& [name, own, report, limited] :
          std::initializer_list<scenario>{
-             {"older limit", 5.0, {"u", 7.0, 2000ms, {}}, 1},
-             {"newer end", 5.0, {"u", {}, 500ms, {}}, 0},
-             {"older end", 5.0, {"u", {}, 2000ms, {}}, 1},
-             {"end of an unknown limit", {}, {"u", {}, 500ms, {}}, 0},
-             {"new limit", {}, {"u", 5.0, 500ms, {}}, 1},
-             {"expired limit", {}, {"u", 5.0, 30000ms, {}}, 0},
-             {"age in the future", {}, {"u", 5.0, -1ms, {}}, 0}})
+             {"older limit", 5.0, {"u", "z0", 7.0, 2000ms, {}}, 1},
+             {"newer end", 5.0, {"u", "z0", {}, 500ms, {}}, 0},
+             {"older end", 5.0, {"u", "z0", {}, 2000ms, {}}, 1},
+             {"end of an unknown limit", {}, {"u", "z0", {}, 500ms, {}}, 0},
+             {"new limit", {}, {"u", "z0", 5.0, 500ms, {}}, 1},
+             {"expired limit", {}, {"u", "z0", 5.0, 30000ms, {}}, 0},
+             {"age in the future", {}, {"u", "z0", 5.0, -1ms, {}}, 0}})
     {
         CAPTURE(name);
         upstream_rate_limits limits;
         if (own)
-            limits.record("u", own, start);
+            limits.record(make_statement(own), start);
         limits.merge(report, "10.0.0.2:1", start + 1s);
         CHECK(limits.size() == limited);
     }
@@ -392,7 +400,7 @@
 {
     upstream_rate_limits left;
     upstream_rate_limits right;
-    left.record("u", 5, start);
+    left.record(make_statement(5), start);
     auto now = start;
     for (unsigned round = 0; round < 40; ++round)
     {
@@ -408,13 +416,39 @@
     CHECK(right.size() == 0);
 }
 
+// Guards against shares that add up to more than the limit in a large fleet: an
+// instance that has never chosen the upstream does not know its failure domain,
+// takes itself for a holder without demand, and the others use its share.
+TEST_CASE("instances agree on the holders without having chosen the upstream")
+{
+    rate_limit_fleet fleet{
+        .size = {.instances = 400, .view = fleet_view::settled}};
+    for (unsigned index = 0; index < 400; ++index)
+        fleet.live.push_back(
+            {.address = std::to_string(index) + ":1",
+             .failure_domain = "z" + std::to_string(index % 4)});
+    std::size_t holders = 0;
+    for (const auto& member : fleet.live)
+    {
+        fleet.own_address = member.address;
+        upstream_rate_limits limits;
+        limits.set_fleet(fleet);
+        limits.merge({"u", "z0", 10.0, 500ms, {}}, "b", start);
+        const auto report = limits.reports(1, start)[0];
+        CHECK(report.failure_domain == "z0");
+        CHECK(report.demand.has_value() == is_holder(fleet, "u", "z0", 10));
+        holders += report.demand ? 1 : 0;
+    }
+    CHECK(holders == holder_count(10, 400));
+}
+
 // Guards against a report that always names the same upstreams when there are
 // more than a message holds.
 TEST_CASE("reports take turns through all upstreams")
 {
     upstream_rate_limits limits;
     for (unsigned index = 0; index < 10; ++index)
-        limits.record("u" + std::to_string(index), 5, start);
+        limits.record(make_statement(5, "u" + std::to_string(index)), start);
     std::map<std::string, unsigned> seen;
     for (unsigned message = 0; message < 5; ++message)
         for (const auto& report : limits.reports(4, start + 1s))
@@ -443,11 +477,11 @@
         registered_upstream upstream;
         upstream.spec = {.id = "u", .failure_domain = "z"};
         CHECK(limits.admit(upstream, start));
-        limits.record("u", 10, start);
+        limits.record(make_statement(10), start);
         limits.admit(upstream, start);
         CHECK(limits.admit(upstream, start + 1s) == is_allowed);
         CHECK(limits.next_send("u", start + 1s).has_value() == is_allowed);
-        limits.record("u", std::nullopt, start + 2s);
+        limits.record(make_statement(std::nullopt), start + 2s);
         CHECK(limits.admit(upstream, start + 2s));
     }
 }
--- a/Tests/core/request/fan_out.cpp
+++ b/Tests/core/request/fan_out.cpp
@@ -449,9 +449,11 @@
         fixture.plan.min_coverage = each.min_coverage;
         for (unsigned leg = 0; leg < each.legs; ++leg)
             for (unsigned replica = 0; replica < each.limited; ++replica)
-                fixture.rate_limits.record("s" + std::to_string(leg) + "-" +
-                                               std::to_string(replica),
-                                           5, start);
+                fixture.rate_limits.record(
+                    {.upstream = "s" + std::to_string(leg) + "-" +
+                                 std::to_string(replica),
+                     .per_second = 5},
+                    start);
         fixture.run();
         CHECK(fixture.sends.size() == each.sends);
         CHECK(fixture.end.has_value() == each.result.has_value());
