gateway: Take changes across a restoration for a gap

A watch that was waiting when the store was restored could end with changes of the later epoch.

Found by reading the change. An instance compares the epoch of the changes, and its own, with that of the position from which it asked.

--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -110,11 +110,14 @@
     return changes;
 }
 
-bool source_watcher::has_gap(const routing_changes& changes) const
+bool source_watcher::has_gap(const routing_changes& changes,
+                             const source_position& asked_from) const
 {
     // A restored store may have reached the revision again, with other changes.
+    // A peer's snapshot may have been adopted while the call was under way.
     return changes.is_history_lost ||
-           changes.position.epoch != this->known.epoch;
+           changes.position.epoch != asked_from.epoch ||
+           this->known.epoch != asked_from.epoch;
 }
 
 bool source_watcher::is_source_reachable() const
@@ -182,13 +185,14 @@
 
 asio::awaitable<bool> source_watcher::watch()
 {
+    const auto asked_from = this->known;
     const auto changes =
-        co_await this->config.source->watch(this->known.revision, watch_wait);
+        co_await this->config.source->watch(asked_from.revision, watch_wait);
     this->set_reachable(changes.has_value(),
                         changes ? "" : changes.error().message);
     if (!changes)
         co_return false;
-    if (this->has_gap(changes.value()))
+    if (this->has_gap(changes.value(), asked_from))
     {
         log_event(log_level::warning, "directory_history_lost",
                   {{"epoch", std::to_string(this->known.epoch)},
@@ -208,9 +212,10 @@
     for (std::size_t reader = 0; reader <= reader_selection::max_failed_readers;
          ++reader)
     {
+        const auto asked_from = this->known;
         const auto changes = co_await this->config.peer->watch(
-            this->known.revision, std::chrono::milliseconds(0));
-        if (changes && !this->has_gap(changes.value()))
+            asked_from.revision, std::chrono::milliseconds(0));
+        if (changes && !this->has_gap(changes.value(), asked_from))
         {
             this->has_reachable_source = true;
             this->apply_changes(changes.value(), "peer");
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -83,8 +83,10 @@
     // Adopts the snapshot of a peer whose changes have a gap. Returns whether
     // it was later than what is known.
     boost::asio::awaitable<bool> read_peer();
-    // True when the changes do not continue what is known.
-    bool has_gap(const routing_changes& changes) const;
+    // True when the changes, which were asked for from a position, do not
+    // continue what is known.
+    bool has_gap(const routing_changes& changes,
+                 const source_position& asked_from) const;
     // Each of these calls the source, for a snapshot or for changes. Returns
     // whether the call succeeded.
     boost::asio::awaitable<bool> read();
--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -236,6 +236,41 @@
     this->wait_for(0, 5);
 }
 
+// Guards against changes of a later epoch that are taken to continue a snapshot
+// of that epoch although they were asked for from an earlier one: what was
+// written between the two is missed.
+TEST_CASE_FIXTURE(gateway_fixture, "a watch across a restoration is a gap")
+{
+    this->put_config(1, 0);
+    this->add_server("plain", "i-1");
+    this->add_server("plain", "i-left");
+    this->wait_for(2, 1);
+    this->store.save_copy();
+    this->store.put("op/other", "x");
+    this->store.put("op/other", "y");
+    // The next watch is waiting when the store is restored.
+    std::this_thread::sleep_for(source_watcher::change_batch_interval + 200ms);
+    const auto known =
+        this->on_worker([this] { return this->watcher->position().source; });
+    const auto upstreams =
+        this->on_worker([this] { return this->state.upstreams.listed(); });
+    routing_snapshot snapshot;
+    snapshot.position = {.epoch = known.epoch + 1,
+                         .revision = known.revision - 2};
+    snapshot.upstreams = upstreams;
+    this->on_worker(
+        [&]
+        {
+            this->watcher->adopt_snapshot(snapshot, "peer");
+            return 0;
+        });
+    this->store.restore_copy();
+    this->store.remove("servers/i-left");
+    for (unsigned change = 0; change < 5; ++change)
+        this->store.put("op/other", std::to_string(change));
+    this->wait_for(1, 1);
+}
+
 namespace
 {
 
