--- a/Libraries/core/process/gossip_message.hpp
+++ b/Libraries/core/process/gossip_message.hpp
@@ -77,7 +77,7 @@
     std::optional<unsigned> bucket;
     // The sender's bucket digests; set in a reply if the tables differ.
     std::optional<bucket_digests> buckets;
-    // How current the sender's routing is; absent when it has none.
+    // How current the sender's routing is; only gateways send it.
     std::optional<routing_position> routing;
     // At most max_rate_limit_reports.
     std::vector<rate_limit_report> rate_limits;
