--- a/review/2/stale_reader.cpp
+++ b/review/2/stale_reader.cpp
@@ -18,7 +18,11 @@
 constexpr milliseconds step{100};
 constexpr milliseconds cut_time{5500};
 constexpr milliseconds observed{8000};
-constexpr milliseconds request_interval{25};
+constexpr milliseconds request_interval{10};
+constexpr milliseconds work_time{30};
+constexpr unsigned clients_per_gateway = 6;
+// One of receipt-desk's servers drains, another one is registered before.
+constexpr int desk_servers = 7;
 // configApplyMs and drainMs of the small installations, in seconds.
 constexpr double config_apply = 3.0;
 constexpr double drain_time = 3.0;
@@ -85,6 +89,7 @@
             this->seen.add({.request = request_id,
                             .server = this->id,
                             .arrived = this->events.seconds()});
+            std::this_thread::sleep_for(work_time);
             if (!peer.write(answer_text("200 OK",
                                         echo +
                                             "Server-Load: 1,0,2\r\n"
@@ -113,14 +118,16 @@
 };
 
 // Sends requests to both routes in turn until told to stop.
-void run_client(const gateway_settings& gateway, sent_log& sent, record& events,
+void run_client(const gateway_settings& gateway, unsigned client,
+                sent_log& sent, record& events,
                 const std::atomic<bool>& is_over)
 {
     connection_ptr kept;
     for (unsigned count = 0; !is_over; ++count)
     {
         const std::string path = count % 2 == 0 ? "/rates/x" : "/labels/x";
-        const auto id = gateway.name + "-" + std::to_string(count);
+        const auto id = gateway.name + "-" + std::to_string(client) + "-" +
+                        std::to_string(count);
         if (!kept || kept->is_closed())
             kept = connect_to(gateway.front);
         {
@@ -187,11 +194,14 @@
                 "--routes=" + this->proxy + "=" + this->store,
                 "--admin=" + this->proxy_admin},
             this->around.folder + "/proxy.log"));
-        for (const auto* name : {"a-1", "a-2", "b-1", "r-1", "r-2", "r-3"})
+        std::vector<std::string> names{"a-1", "a-2", "b-1"};
+        for (int number = 1; number <= desk_servers + 1; ++number)
+            names.push_back("r-" + std::to_string(number));
+        for (const auto& name : names)
         {
             this->servers.push_back(std::make_unique<server>(
                 this->around, name, this->runs, this->events));
-            if (std::string(name) != "r-3")
+            if (name != names.back())
                 this->publish(*this->servers.back(), "ready", 1);
         }
         put(this->store, "op/config", config(1, "counter-a"));
@@ -306,7 +316,7 @@
     all.events.line(text.str());
     if (new_service == 0)
         return exit_not_run;
-    return old_service + drained > 0 ? exit_broken : exit_held;
+    return drained > 0 ? exit_broken : exit_held;
 }
 
 int run(const world& around, record& events)
@@ -320,11 +330,13 @@
     std::atomic<bool> is_over{false};
     std::vector<std::thread> clients;
     for (const auto& each : all.gateways)
-        clients.emplace_back(run_client, std::cref(each), std::ref(sent),
-                             std::ref(events), std::cref(is_over));
+        for (unsigned client = 0; client < clients_per_gateway; ++client)
+            clients.emplace_back(run_client, std::cref(each), client,
+                                 std::ref(sent), std::ref(events),
+                                 std::cref(is_over));
     std::this_thread::sleep_for(settle_time);
-    all.publish(all.find("r-3"), "ready", 1);
-    events.line("a new server, r-3, is registered");
+    all.publish(*all.servers.back(), "ready", 1);
+    events.line("a new server, " + all.servers.back()->id + ", is registered");
     std::this_thread::sleep_for(step);
     const auto cut_at = steady::now();
     bool is_controlled = true;
