--- a/review/2/stale_reader.cpp
+++ b/review/2/stale_reader.cpp
@@ -372,10 +372,12 @@
 
 }
 
-int main()
+int main(int argument_count, char** arguments)
 {
+    if (argument_count != 2)
+        return exit_not_run;
     const auto around = make_world();
-    record events("record.txt");
+    record events(arguments[1]);
     const int status = run(around, events);
     events.line("exit status " + std::to_string(status));
     // Threads that serve connections still run; the processes have ended.
