gateway: Use a new connection for a repeat at the same upstream

An upstream that was full refused a request and sent a second copy of the refusal late. The copy arrived when the same request had been offered to that upstream again on the same connection. All sends of a request share its id, so the copy was taken for the reply to the second send, and the request was sent once more although the upstream ran it.

fan_out marks a send to an upstream that the leg was sent to before, and the session opens a new connection for it. On that connection no copy of an earlier reply can arrive. Ids can't tell the sends apart, because callers' ids are forwarded unchanged.

The stand-in server gains the mode repeat_refusal.

--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -225,7 +225,8 @@
     const attempt_id attempt{this->attempts.size()};
     const auto earlier = std::ranges::find(current_leg.tried, upstream->spec.id,
                                            &tried_upstream::id);
-    if (earlier != current_leg.tried.end())
+    const bool is_upstream_repeated = earlier != current_leg.tried.end();
+    if (is_upstream_repeated)
         earlier->last_attempt = attempt;
     else
         current_leg.tried.push_back(
@@ -239,7 +240,8 @@
         send{.attempt = attempt,
              .leg = index,
              .upstream = upstream,
-             .is_repeat = charge == budget_charge::charged});
+             .is_repeat = charge == budget_charge::charged,
+             .is_upstream_repeated = is_upstream_repeated});
     return true;
 }
 
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -89,6 +89,10 @@
         registered_upstream_ptr upstream;
         // True for all but the first send of a leg.
         bool is_repeat = false;
+        // True when an earlier attempt of the leg was sent to this upstream.
+        // Replies to both carry the same request id, so this attempt needs a
+        // connection that has not carried the earlier one.
+        bool is_upstream_repeated = false;
     };
 
     // The attempt is no longer needed. Its outcome must not be reported.
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -26,7 +26,7 @@
     // For non-idempotent requests.
     new_or_recently_active,
     // New connections only. For a request whose last attempt was sent over a
-    // silent connection.
+    // silent connection, or that was sent to the same upstream before.
     new_only,
 };
 
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -96,12 +96,7 @@
     call.deadline = this->config.deadline;
     call.priority = this->config.priority;
     call.first_byte_timeout = this->config.deadline - now;
-    // An at-most-once request can't be repeated after it was sent over a silent
-    // connection, and a repeat should not be sent over another one.
-    const bool needs_fresh =
-        action.is_repeat || this->retries == retry_policy::at_most_once;
-    call.use = needs_fresh ? connection_use::new_or_recently_active
-                           : connection_use::any;
+    call.use = this->choose_connection_use(action);
     ++this->outcome.sends;
     const auto attempt = action.attempt;
     // A call that still waits for a connection when its answer is no longer
@@ -124,6 +119,20 @@
         { self->end_attempt(attempt, std::move(result)); });
 }
 
+connection_use
+request_session::choose_connection_use(const fan_out::send& action) const
+{
+    // A second copy of the reply to the earlier attempt can't be told from the
+    // reply to this one on the connection that carried both.
+    if (action.is_upstream_repeated)
+        return connection_use::new_only;
+    // An at-most-once request can't be repeated after it was sent over a silent
+    // connection, and a repeat should not be sent over another one.
+    if (action.is_repeat || this->retries == retry_policy::at_most_once)
+        return connection_use::new_or_recently_active;
+    return connection_use::any;
+}
+
 void request_session::perform(const fan_out::release& action)
 {
     const auto found = this->calls.find(action.attempt);
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -88,6 +88,8 @@
 
     void apply(const std::vector<fan_out::action>& actions);
     void perform(const fan_out::send& action);
+    // Returns which connections of the upstream the attempt may use.
+    connection_use choose_connection_use(const fan_out::send& action) const;
     void perform(const fan_out::release& action);
     void perform(const fan_out::start_timer& action);
     void perform(const fan_out::finish& action);
--- a/StandIns/server/stand_in_server.cpp
+++ b/StandIns/server/stand_in_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -33,6 +34,7 @@
     named_mode{"truncate", server_mode::truncate},
     named_mode{"garble", server_mode::garble},
     named_mode{"repeat_reply", server_mode::repeat_reply},
+    named_mode{"repeat_refusal", server_mode::repeat_refusal},
     named_mode{"wrong_id", server_mode::wrong_id},
     named_mode{"unsigned", server_mode::unsigned_reply},
     named_mode{"silent", server_mode::silent},
@@ -80,6 +82,14 @@
     bool closes_connection = false;
 };
 
+// A connection to the server.
+struct served_connection
+{
+    tcp::socket socket;
+    // The refusal that is sent a second time; empty when there is none.
+    std::string refusal_copy;
+};
+
 encoded_reply encode_reply(server_mode mode, reply_text reply)
 {
     const auto complete = format_reply(reply);
@@ -168,24 +178,26 @@
     static asio::awaitable<void> serve(std::shared_ptr<implementation> self,
                                        tcp::socket socket)
     {
+        served_connection connection{.socket = std::move(socket)};
         beast::flat_buffer buffer;
         bool is_open = true;
         while (is_open)
         {
             error_code failure;
             request_message request;
-            co_await http::async_read(socket, buffer, request,
+            co_await http::async_read(connection.socket, buffer, request,
                                       store_error(failure));
             if (failure)
                 co_return;
-            is_open = co_await self->answer(socket, request);
+            is_open = co_await self->answer(connection, request);
         }
     }
 
     // Returns whether the connection stays open.
-    asio::awaitable<bool> answer(tcp::socket& socket,
+    asio::awaitable<bool> answer(served_connection& connection,
                                  const request_message& request)
     {
+        auto& socket = connection.socket;
         error_code failure;
         const auto mode = this->record_arrival(request);
         const auto id = std::string(request["Request-Id"]);
@@ -206,15 +218,20 @@
             reply.headers += "Instance-Id: " + this->values.id + "\r\n";
             encoded.bytes = format_reply(reply);
         }
-        else if (mode == server_mode::refuse)
+        else if (this->is_refused(mode, id))
         {
             reply.status = status_refused;
             reply.headers += "Not-Executed: 1\r\n";
             encoded.bytes = format_reply(reply);
+            if (mode == server_mode::repeat_refusal)
+                connection.refusal_copy = encoded.bytes;
         }
         else
         {
             this->record_run(id);
+            const auto copy = std::exchange(connection.refusal_copy, "");
+            co_await asio::async_write(socket, asio::buffer(copy),
+                                       store_error(failure));
             if (!co_await this->wait_before_reply(socket, mode))
                 co_return false;
             if (mode == server_mode::fail)
@@ -273,6 +290,15 @@
         return "Server-Limit: " + std::to_string(limit) + "\r\n";
     }
 
+    // Returns whether the server refuses to run the request.
+    bool is_refused(server_mode current, const std::string& id)
+    {
+        if (current != server_mode::repeat_refusal)
+            return current == server_mode::refuse;
+        const std::lock_guard lock(this->mutex);
+        return this->refused_ids.insert(id).second;
+    }
+
     void record_run(const std::string& id)
     {
         const std::lock_guard lock(this->mutex);
@@ -285,6 +311,8 @@
     mutable std::mutex mutex;
     server_mode mode = server_mode::normal;
     std::vector<std::string> run_ids;
+    // Requests that were refused in the mode repeat_refusal.
+    std::set<std::string> refused_ids;
     std::vector<std::string> header_blocks;
     std::atomic<std::chrono::milliseconds> delay{std::chrono::milliseconds(0)};
     std::atomic<double> rate_limit{-1};
--- a/StandIns/server/stand_in_server.hpp
+++ b/StandIns/server/stand_in_server.hpp
@@ -35,6 +35,10 @@
     garble,
     // Runs the request and sends two replies with different bodies.
     repeat_reply,
+    // Refuses each request when it arrives for the first time, and runs it when
+    // it arrives again. Before the next reply on a connection that carried a
+    // refusal, the refusal is sent a second time.
+    repeat_refusal,
     // Runs the request and replies with the id of another request.
     wrong_id,
     // Runs the request and replies without a signature.
--- a/Tests/core/request/fan_out.cpp
+++ b/Tests/core/request/fan_out.cpp
@@ -351,6 +351,13 @@
         if (fixture.end->result == fan_out_result::answered)
             CHECK(static_cast<double>(covered) >=
                   fixture.plan.min_coverage * services);
+        std::set<std::pair<std::size_t, std::string>> seen_upstreams;
+        for (const auto& send : fixture.sends)
+        {
+            const bool is_new =
+                seen_upstreams.emplace(send.leg, send.upstream->spec.id).second;
+            CHECK(send.is_upstream_repeated == !is_new);
+        }
         for (std::size_t leg = 0; leg < services; ++leg)
             if (fixture.end->legs[leg].answer)
                 CHECK(fixture.sends[fixture.end->legs[leg].answer->value - 1]
--- a/Tests/gateway/forwarder.cpp
+++ b/Tests/gateway/forwarder.cpp
@@ -76,6 +76,27 @@
     CHECK(second.runs().size() == 20);
 }
 
+// Guards against a late second copy of a refusal that is taken for the reply to
+// the next send of the same request: the request ran twice (rule TWICE), and
+// could be refused after it had run (rule REFUSED).
+TEST_CASE_FIXTURE(gateway_fixture, "a second copy of a refusal is not a reply")
+{
+    auto& server = this->add_server("plain", "i-1");
+    server.set_mode(server_mode::repeat_refusal);
+    // The copy arrives well before the reply.
+    server.set_delay(30ms);
+    this->put_config(1, 0);
+    this->wait_for(1, 1);
+    for (const char* target : {"/once/x", "/p/x"})
+        for (unsigned request = 0; request < 5; ++request)
+        {
+            CAPTURE(target);
+            const auto before = server.runs().size();
+            CHECK(this->ask("POST", target).result_int() == 200);
+            CHECK(server.runs().size() == before + 1);
+        }
+}
+
 // Guards against a request that runs on the wrong server: the directory still
 // lists a server whose address a different one has taken over. Each such
 // request counted as a repeat for the service of the other server (found on
