gateway: Pass on how old a reader's knowledge of the store is

The instances of a failure domain ask one of them for changes. When that reader is partitioned from the store, it answered "no changes" until its own watch had timed out, and each such answer counted as contact with the store. Besides, the two seconds in which a leaving upstream is a last resort began when its departure was learned, however old it was by then.

Readers now state the time since the store confirmed what they know; older answers than 1.6 s are not used. The watch waits 1 s instead of 2.5 s, so that a sound reader stays below that. The grace period of a leaving upstream counts from the last contact in which it had not left, except after an outage of the store, in which entries expire and reappear.

--- a/Libraries/core/process/routing_change_log.hpp
+++ b/Libraries/core/process/routing_change_log.hpp
@@ -4,6 +4,7 @@
 #include "core/base/error.hpp"
 #include "core/process/routing_snapshot.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -28,6 +29,9 @@
 {
     // The state that the changes lead to.
     source_position position;
+    // Time since the source confirmed this state to the instance that sends the
+    // changes; zero when they come from the source itself.
+    std::chrono::milliseconds source_age{0};
     // True when the log no longer holds every change since that revision; the
     // receiver then needs a snapshot.
     bool is_history_lost = false;
--- a/Libraries/core/process/routing_snapshot.cpp
+++ b/Libraries/core/process/routing_snapshot.cpp
@@ -303,6 +303,7 @@
     auto object =
         encode_common(changes.position, changes.routes, std::move(upstreams));
     object["is_history_lost"] = changes.is_history_lost;
+    object["source_age_ms"] = changes.source_age.count();
     return json::serialize(object);
 }
 
@@ -314,6 +315,10 @@
     BOOST_OUTCOME_TRY(decode_common(object, changes));
     BOOST_OUTCOME_TRY(changes.is_history_lost,
                       read_json_flag(object, "is_history_lost"));
+    // Instances of earlier versions send no age.
+    BOOST_OUTCOME_TRY(const auto age,
+                      read_optional_integer(object, "source_age_ms"));
+    changes.source_age = std::chrono::milliseconds(age);
     BOOST_OUTCOME_TRY(changes.upstreams,
                       decode_list(object, "upstreams", decode_change));
     return changes;
--- a/Libraries/core/process/upstream_registry.cpp
+++ b/Libraries/core/process/upstream_registry.cpp
@@ -7,12 +7,13 @@
 namespace wisteriahatch
 {
 
-bool upstream_registry::set(const upstream_spec& spec, time_point now)
+bool upstream_registry::set(const upstream_spec& spec, time_point now,
+                            std::optional<time_point> unchanged_at)
 {
     if (!this->is_outdated(spec))
     {
         this->held_back.erase(spec.id);
-        return this->add(spec, now);
+        return this->add(spec, now, unchanged_at.value_or(now));
     }
     this->held_back.try_emplace(
         spec.id, held_upstream{.spec = spec, .usable_at = now + hold_time});
@@ -37,7 +38,8 @@
                                                 .left_at = now});
 }
 
-bool upstream_registry::add(const upstream_spec& spec, time_point now)
+bool upstream_registry::add(const upstream_spec& spec, time_point now,
+                            time_point unchanged_at)
 {
     if (spec.is_draining)
         this->record_departure(spec, now);
@@ -69,14 +71,16 @@
                 duration(upstream_state::cold_start_duration));
     if (spec.is_draining)
         entry->leaving_since =
-            is_same_start ? found->second->leaving_since.value_or(now) : now;
+            is_same_start ? found->second->leaving_since.value_or(unchanged_at)
+                          : unchanged_at;
     if (is_known)
         this->drop(*found->second);
     this->put(entry);
     return true;
 }
 
-bool upstream_registry::remove(std::string_view id, time_point now)
+bool upstream_registry::remove(std::string_view id, time_point now,
+                               std::optional<time_point> unchanged_at)
 {
     if (const auto held = this->held_back.find(id);
         held != this->held_back.end())
@@ -86,21 +90,22 @@
         return false;
     this->record_departure(found->second->spec, now);
     auto entry = std::make_shared<registered_upstream>(*found->second);
-    entry->leaving_since = now;
+    entry->leaving_since = unchanged_at.value_or(now);
     this->drop(*found->second);
     this->put(entry);
     return true;
 }
 
 bool upstream_registry::replace_all(const std::vector<upstream_spec>& specs,
-                                    time_point now)
+                                    time_point now,
+                                    std::optional<time_point> unchanged_at)
 {
     bool has_changed = false;
     std::set<std::string_view> listed;
     for (const auto& spec : specs)
     {
         listed.insert(spec.id);
-        has_changed = this->set(spec, now) || has_changed;
+        has_changed = this->set(spec, now, unchanged_at) || has_changed;
     }
     std::vector<std::string> missing;
     for (const auto& [id, entry] : this->upstreams)
@@ -110,7 +115,7 @@
         if (!listed.contains(id))
             missing.push_back(id);
     for (const auto& id : missing)
-        has_changed = this->remove(id, now) || has_changed;
+        has_changed = this->remove(id, now, unchanged_at) || has_changed;
     return has_changed;
 }
 
@@ -137,7 +142,7 @@
     for (const auto& spec : usable)
     {
         this->held_back.erase(spec.id);
-        this->add(spec, now);
+        this->add(spec, now, now);
     }
     return !usable.empty();
 }
--- a/Libraries/core/process/upstream_registry.hpp
+++ b/Libraries/core/process/upstream_registry.hpp
@@ -47,9 +47,9 @@
 {
     upstream_spec spec;
     std::shared_ptr<upstream_state> state;
-    // When the directory marked the upstream as draining or removed it. From
-    // then on it is used only while its service has no better one, until
-    // upstream_registry::leaving_grace has passed.
+    // When the directory marked the upstream as draining or removed it, at the
+    // earliest. Once that is known it is used only while its service has no
+    // better one, until upstream_registry::leaving_grace has passed.
     std::optional<time_point> leaving_since;
 };
 
@@ -76,11 +76,17 @@
     static constexpr std::chrono::minutes departure_memory{5};
 
     // set(), remove(), replace_all() and expire() return whether the upstreams
-    // changed. An unknown upstream that is draining is ignored.
-    bool set(const upstream_spec& spec, time_point now);
-    bool remove(std::string_view id, time_point now);
+    // changed. An unknown upstream that is draining is ignored. `unchanged_at`
+    // is the last time at which the directory is known to have held the
+    // previous entries, from which the grace period of an upstream that leaves
+    // is counted; the default is `now`.
+    bool set(const upstream_spec& spec, time_point now,
+             std::optional<time_point> unchanged_at = {});
+    bool remove(std::string_view id, time_point now,
+                std::optional<time_point> unchanged_at = {});
     // Applies a complete list; upstreams that it lacks are removed.
-    bool replace_all(const std::vector<upstream_spec>& specs, time_point now);
+    bool replace_all(const std::vector<upstream_spec>& specs, time_point now,
+                     std::optional<time_point> unchanged_at = {});
     // Drops the upstreams whose grace period has passed, and adds the held ones
     // whose time is over.
     bool expire(time_point now);
@@ -119,7 +125,8 @@
     // True when the entry is older than the upstream's own statement that was
     // known when it left.
     bool is_outdated(const upstream_spec& spec) const;
-    bool add(const upstream_spec& spec, time_point now);
+    bool add(const upstream_spec& spec, time_point now,
+             time_point unchanged_at);
     // Adds the held upstreams whose time is over; returns whether there were
     // any.
     bool release_held(time_point now);
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -346,6 +346,7 @@
                   .count())}});
     // Upstreams have closed or dropped connections that were idle for so long.
     this->upstreams.close_idle();
+    this->watcher.handle_pause(length);
     this->peers.handle_pause();
 }
 
--- a/Programs/gateway/gateway_state.hpp
+++ b/Programs/gateway/gateway_state.hpp
@@ -23,8 +23,8 @@
     upstream_rate_limits rate_limits;
     traffic_split split;
     std::mt19937_64 random;
-    // When the configuration source, or the peer that watches it, last
-    // answered.
+    // When the configuration source last confirmed the routes and upstreams, to
+    // this instance or to the peer that watches it.
     time_point last_source_contact{};
 };
 
--- a/Programs/gateway/peer_exchange.cpp
+++ b/Programs/gateway/peer_exchange.cpp
@@ -222,13 +222,12 @@
 void peer_exchange::fetch_if_newer(const gossip_message& message)
 {
     const auto now = clock_now();
-    const auto& state = *this->config.state;
     const auto& peer = message.sender;
     const auto own = this->config.watcher->position();
     const auto theirs = message.routing.value_or(
         routing_position{.source = {.revision = peer.document.serial}});
     const bool is_silent =
-        now - state.last_source_contact > source_silence_timeout ||
+        now - this->config.watcher->last_answer() > source_silence_timeout ||
         !this->config.watcher->is_source_reachable();
     const bool is_later = theirs.source > own.source && is_silent;
     const bool has_missed_routes =
--- a/Programs/gateway/peer_source.cpp
+++ b/Programs/gateway/peer_source.cpp
@@ -22,6 +22,13 @@
             "no other instance watches the source for this one"};
 }
 
+error make_stale_reader_error(std::chrono::milliseconds age)
+{
+    return {error_kind::upstream_timeout,
+            "the reader has not heard from the source for " +
+                std::to_string(age.count()) + " ms; ask another instance"};
+}
+
 }
 
 std::string encode_routing_position(const routing_position& position)
@@ -84,6 +91,10 @@
         co_await this->peers->call(reader, "routing.changes", parameters);
     auto changes = answer ? decode_changes(answer.value())
                           : result<routing_changes>(answer.error());
+    // A reader that is partitioned from the source does not notice it before
+    // its watch has timed out, and hears of no change until then.
+    if (changes && changes.value().source_age > source_watcher::max_reader_age)
+        changes = make_stale_reader_error(changes.value().source_age);
     // After a gap the snapshot of the same reader is read.
     if (!changes)
         this->peers->record_reader_failure(reader);
--- a/Programs/gateway/peer_source.hpp
+++ b/Programs/gateway/peer_source.hpp
@@ -27,7 +27,8 @@
     // After a failure, or a snapshot that is not later than what is known, the
     // next call asks another instance.
     boost::asio::awaitable<result<routing_snapshot>> read() override;
-    // Returns without waiting for changes; `wait` is ignored. After a failure
+    // Returns without waiting for changes; `wait` is ignored. Fails when the
+    // reader itself has not heard from the source for too long. After a failure
     // the next call asks another instance.
     boost::asio::awaitable<result<routing_changes>>
     watch(std::uint64_t revision, std::chrono::milliseconds wait) override;
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -76,8 +76,8 @@
     this->change_log.reset(this->known.revision);
     // The source can be watched from the peer's revision on, as after a read.
     this->has_snapshot = true;
-    if (this->config.state->upstreams.replace_all(snapshot.upstreams,
-                                                  clock_now()))
+    if (this->config.state->upstreams.replace_all(
+            snapshot.upstreams, clock_now(), this->unchanged_at()))
         this->publish_upstreams();
     this->arm_expiry();
 }
@@ -98,6 +98,7 @@
 routing_changes
 source_watcher::changes_since(const routing_position& other) const
 {
+    using std::chrono::milliseconds;
     routing_changes changes;
     if (other.source.epoch == this->known.epoch)
         changes = this->change_log.since(other.source.revision);
@@ -105,6 +106,8 @@
         changes.is_history_lost = true;
     const auto own = this->position();
     changes.position = this->known;
+    changes.source_age = std::chrono::ceil<milliseconds>(
+        clock_now() - this->config.state->last_source_contact);
     if (own.version > other.version)
         changes.routes = this->config.state->routes;
     return changes;
@@ -125,6 +128,31 @@
     return this->has_reachable_source;
 }
 
+time_point source_watcher::last_answer() const
+{
+    return this->answered_at;
+}
+
+void source_watcher::handle_pause(duration length)
+{
+    auto& contact = this->config.state->last_source_contact;
+    contact = std::min(contact, clock_now() - length);
+}
+
+void source_watcher::record_contact(time_point confirmed)
+{
+    auto& contact = this->config.state->last_source_contact;
+    contact = std::max(contact, confirmed);
+    this->is_contact_interrupted = false;
+}
+
+time_point source_watcher::unchanged_at() const
+{
+    return this->is_contact_interrupted
+               ? clock_now()
+               : this->config.state->last_source_contact;
+}
+
 void source_watcher::set_fleet_size(const fleet_size& size)
 {
     this->fleet = size;
@@ -138,18 +166,23 @@
     {
         if (co_await this->ask_peer())
         {
-            this->config.state->last_source_contact = clock_now();
+            this->answered_at = clock_now();
             co_await this->pause(peer_poll_interval);
             continue;
         }
+        const auto started = clock_now();
         const bool succeeded =
             this->has_snapshot ? co_await this->watch() : co_await this->read();
         if (succeeded)
         {
             retry = min_retry_delay;
-            this->config.state->last_source_contact = clock_now();
+            this->answered_at = clock_now();
+            this->record_contact(this->answered_at);
+            // A call that was answered late is followed by the next one at
+            // once: there may be changes since it was answered.
             if (std::exchange(this->has_new_changes, false))
-                co_await this->pause(change_batch_interval);
+                co_await this->pause(started + change_batch_interval -
+                                     clock_now());
             continue;
         }
         // Jitter, so that instances do not retry all at once.
@@ -171,8 +204,8 @@
     this->change_log.reset(this->known.revision);
     this->has_snapshot = true;
     this->adopt_routes(snapshot.value().routes, "snapshot");
-    if (this->config.state->upstreams.replace_all(snapshot.value().upstreams,
-                                                  clock_now()))
+    if (this->config.state->upstreams.replace_all(
+            snapshot.value().upstreams, clock_now(), this->unchanged_at()))
         this->publish_upstreams();
     log_event(log_level::info, "directory_read",
               {{"epoch", std::to_string(this->known.epoch)},
@@ -213,16 +246,21 @@
          ++reader)
     {
         const auto asked_from = this->known;
+        const auto asked_at = clock_now();
         const auto changes = co_await this->config.peer->watch(
             asked_from.revision, std::chrono::milliseconds(0));
         if (changes && !this->has_gap(changes.value(), asked_from))
         {
             this->has_reachable_source = true;
             this->apply_changes(changes.value(), "peer");
+            this->record_contact(asked_at - changes.value().source_age);
             co_return true;
         }
         if (changes && co_await this->read_peer())
+        {
+            this->record_contact(asked_at - changes.value().source_age);
             co_return true;
+        }
         const bool has_no_reader =
             !changes && changes.error().kind == error_kind::no_configuration;
         if (has_no_reader)
@@ -281,8 +319,10 @@
 bool source_watcher::apply_change(const upstream_change& change, time_point now)
 {
     auto& registry = this->config.state->upstreams;
-    const bool has_changed = change.spec ? registry.set(*change.spec, now)
-                                         : registry.remove(change.id, now);
+    const auto before = this->unchanged_at();
+    const bool has_changed = change.spec
+                                 ? registry.set(*change.spec, now, before)
+                                 : registry.remove(change.id, now, before);
     if (has_changed)
         log_event(log_level::info, "upstream_changed",
                   {{"upstream", change.id},
@@ -299,6 +339,8 @@
 
 void source_watcher::set_reachable(bool is_reachable, const std::string& reason)
 {
+    if (!is_reachable)
+        this->is_contact_interrupted = true;
     if (is_reachable == this->has_reachable_source)
         return;
     this->has_reachable_source = is_reachable;
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -36,12 +36,18 @@
         std::string failure_domain;
     };
 
-    // Longest wait of one watch call. A lost answer is noticed only after this
-    // time, and a new version must take effect within three seconds after it
-    // was accepted.
-    static constexpr std::chrono::milliseconds watch_wait{2500};
-    // Pause after a change, so that a burst of changes takes few calls.
+    // Longest wait of one watch call. A partition from the source is noticed
+    // only after this time.
+    static constexpr std::chrono::milliseconds watch_wait{1000};
+    // Shortest time between the starts of two watch calls of which the first
+    // brought changes, so that a burst of changes takes few calls.
     static constexpr std::chrono::milliseconds change_batch_interval{700};
+    // A reader's changes are not used when the source has not confirmed them
+    // for longer than this. It exceeds `watch_wait`, for which a reader hears
+    // nothing when nothing changes. Together with `peer_poll_interval` and a
+    // call to a successor that doesn't answer it leaves half a second of the
+    // three seconds in which a change must take effect.
+    static constexpr std::chrono::milliseconds max_reader_age{1600};
     // Time between two requests to a peer.
     static constexpr std::chrono::milliseconds peer_poll_interval{400};
     // Failed calls to the source are retried with exponential backoff between
@@ -70,6 +76,12 @@
     // True when the latest call to the source succeeded, or a peer has answered
     // since.
     bool is_source_reachable() const;
+    // Returns when the source, or a peer that was asked in its place, last
+    // answered.
+    time_point last_answer() const;
+    // Records that this process was paused: what the source confirmed before
+    // is older than the steady clock tells.
+    void handle_pause(duration length);
     // Divides the connections to upstreams among the instances of the fleet.
     void set_fleet_size(const fleet_size& size);
 
@@ -93,6 +105,12 @@
     boost::asio::awaitable<bool> watch();
     void apply_changes(const routing_changes& changes,
                        const std::string& origin);
+    // Records that the source confirmed at this time, or later, what is known.
+    void record_contact(time_point confirmed);
+    // Returns when the source is last known to have held what is known here;
+    // see upstream_registry. After an outage of the source this is now: entries
+    // expired in it, and those of upstreams that still run reappear soon.
+    time_point unchanged_at() const;
     boost::asio::awaitable<void> pause(duration length);
     // Returns whether the set of upstreams has changed.
     bool apply_change(const upstream_change& change, time_point now);
@@ -112,6 +130,9 @@
     bool has_snapshot = false;
     bool has_reachable_source = false;
     bool has_new_changes = false;
+    time_point answered_at{};
+    // True when a call to the source has failed since the last contact.
+    bool is_contact_interrupted = true;
     routing_change_log change_log;
     // Instances that share the upstreams' connections.
     fleet_size fleet;
--- a/Tests/core/process/routing_change_log.cpp
+++ b/Tests/core/process/routing_change_log.cpp
@@ -30,6 +30,7 @@
 {
     routing_changes sent;
     sent.position = {.epoch = 2, .revision = 44};
+    sent.source_age = std::chrono::milliseconds(1234);
     sent.routes =
         std::make_shared<const route_table>(route_table::options{.version = 3});
     sent.upstreams = {{.id = "a",
@@ -44,6 +45,7 @@
     CHECK(read.value().upstreams[0].spec == sent.upstreams[0].spec);
     CHECK_FALSE(read.value().upstreams[1].spec);
     CHECK(read.value().routes->version() == 3);
+    CHECK(read.value().source_age == sent.source_age);
     for (const auto& bad : {std::string("{}"), text.substr(1), std::string()})
         CHECK_FALSE(decode_changes(bad));
 }
--- a/Tests/core/process/upstream_registry.cpp
+++ b/Tests/core/process/upstream_registry.cpp
@@ -65,6 +65,41 @@
     CHECK(registry.group("s").empty());
 }
 
+// Guards against an upstream that is used for the whole grace period after its
+// departure was learned late (rule DRAIN, a partitioned reader).
+TEST_CASE("the grace period counts from when the upstream may have left")
+{
+    struct scenario
+    {
+        const char* name;
+        bool (*leave)(upstream_registry& registry);
+    };
+    static constexpr auto learned = 1500ms;
+    for (const auto& each :
+         {scenario{"removed", [](upstream_registry& registry)
+                   { return registry.remove("u", start + learned, start); }},
+          scenario{"draining",
+                   [](upstream_registry& registry)
+                   {
+                       auto spec = make_spec("u");
+                       spec.is_draining = true;
+                       return registry.set(spec, start + learned, start);
+                   }},
+          scenario{"not listed", [](upstream_registry& registry) {
+                       return registry.replace_all({}, start + learned, start);
+                   }}})
+    {
+        CAPTURE(each.name);
+        upstream_registry registry;
+        registry.set(make_spec("u"), start);
+        CHECK(each.leave(registry));
+        CHECK(registry.all().at("u")->leaving_since == start);
+        CHECK(registry.next_expiry() == start + registry.leaving_grace);
+        CHECK(registry.expire(start + registry.leaving_grace));
+        CHECK(registry.all().empty());
+    }
+}
+
 // Guards against observations of one process that are applied to the next one
 // with its address or id, and against needless rebuilds of the views.
 TEST_CASE("observations are kept for one start of an upstream")
--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -271,6 +271,87 @@
     this->wait_for(1, 1);
 }
 
+// Guards against an instance that passes on as current what the source has not
+// confirmed for a long time (rule DRAIN, review of the reader's partition).
+TEST_CASE_FIXTURE(gateway_fixture, "the age of what is known is passed on")
+{
+    const auto age = [this]
+    {
+        return this->on_worker(
+            [this] {
+                return this->watcher->changes_since(this->watcher->position())
+                    .source_age;
+            });
+    };
+    this->put_config(1, 0);
+    this->wait_for(0, 1);
+    CHECK(wait_until([&] { return age() < source_watcher::max_reader_age; }));
+    this->on_worker(
+        [this]
+        {
+            this->watcher->handle_pause(10s);
+            return 0;
+        });
+    CHECK(age() >= 10s);
+    CHECK(wait_until([&] { return age() < source_watcher::max_reader_age; }));
+    this->store.set_mode(store_mode::silent);
+    CHECK(wait_until([&] { return age() > source_watcher::max_reader_age; }));
+}
+
+// Guards against a server that is used for the whole grace period although its
+// removal was learned late (rule DRAIN), and against one that is dropped at
+// once when its entry expired in an outage of the store.
+TEST_CASE_FIXTURE(gateway_fixture, "the grace period after a late removal")
+{
+    struct scenario
+    {
+        const char* name;
+        bool has_outage;
+        bool has_full_grace;
+    };
+    unsigned count = 0;
+    this->put_config(1, 0);
+    this->add_server("plain", "i-stays");
+    for (const auto& each : {scenario{"late without an outage", false, false},
+                             scenario{"after an outage", true, true}})
+    {
+        CAPTURE(each.name);
+        const auto id = "i-" + std::to_string(++count);
+        this->add_server("plain", id);
+        this->wait_for(2, 1);
+        this->store.set_mode(each.has_outage ? store_mode::busy
+                                             : store_mode::normal);
+        if (each.has_outage)
+            REQUIRE(wait_until(
+                [this]
+                {
+                    return !this->on_worker(
+                        [this]
+                        { return this->watcher->is_source_reachable(); });
+                }));
+        this->on_worker(
+            [this]
+            {
+                this->watcher->handle_pause(10s);
+                return 0;
+            });
+        this->store.remove("servers/" + id);
+        this->store.set_mode(store_mode::normal);
+        this->wait_for(1, 1);
+        const bool is_kept = this->on_worker(
+            [&]
+            {
+                const auto& all = this->state.upstreams.all();
+                const auto found = all.find(id);
+                return found != all.end() &&
+                       std::chrono::steady_clock::now() -
+                               *found->second->leaving_since <
+                           upstream_registry::leaving_grace;
+            });
+        CHECK(is_kept == each.has_full_grace);
+    }
+}
+
 namespace
 {
 
--- a/Tests/process/gateway.sh
+++ b/Tests/process/gateway.sh
@@ -1,12 +1,14 @@
 # Process tests of wisteriahatch-gateway with stand-ins of the platform; sourced
 # by run.sh and demo.sh.
 
-# Writes the settings of gateway N and starts it. Usage: gateway_start N
+# Writes the settings of gateway N and starts it. Its failure domain is
+# $gateway_domain, or one of its own if that is empty; it reads the store at
+# STORE, by default directly. Usage: gateway_start N [STORE]
 gateway_start() {
     cat >"$fleet_work/gateway-$1.ini" <<SETTINGS
 [instance]
 name = gateway-$1
-failure_domain = z$1
+failure_domain = ${gateway_domain:-z$1}
 caller_address = $fleet_net.5.$1:8080
 ready_address = $fleet_net.5.$1:8081
 metrics_address = $fleet_net.5.$1:8083
@@ -14,7 +16,7 @@
 address = $fleet_net.5.$1:8082
 seeds = $fleet_net.5.1:8082,$fleet_net.5.2:8082
 [store]
-address = $gateway_store
+address = ${2:-$gateway_store}
 [shutdown]
 grace_s = 4
 SETTINGS
@@ -43,6 +45,7 @@
 }
 
 # Starts the store, two servers of "plain", one of each shard, and two gateways.
+# With $gateway_has_proxy, gateway 1 reaches the store through a proxy.
 # Usage: gateway_fleet [SERVER_ARGUMENT...]
 gateway_fleet() {
     fleet_work=$(mktemp -d)
@@ -60,7 +63,8 @@
     done
     fleet_spawn servers "$fleet_bin/stand-in-server" --servers="$list" "$@"
     gateway_config 1
-    gateway_start 1
+    [ -z "${gateway_has_proxy:-}" ] || gateway_store_proxy
+    gateway_start 1 "${gateway_first_store:-}"
     gateway_start 2
     fleet_wait "http://$fleet_net.5.1:8081/ready" || return 1
     fleet_wait "http://$fleet_net.5.2:8081/ready"
@@ -109,6 +113,59 @@
         awk '$1 == "wisteriahatch_routes_version" { print $2 }')" -eq 2
 }
 
+# Starts a pass-through proxy in front of the store at $gateway_first_store.
+gateway_store_proxy() {
+    gateway_first_store=$fleet_net.4.2:9600
+    gateway_proxy_admin=$fleet_net.4.2:9791
+    fleet_spawn store-proxy "$fleet_bin/stand-in-silencer" \
+        --routes="$gateway_first_store=$fleet_net.3.2:9600" --admin="$gateway_proxy_admin"
+    until gateway_proxy_control '{}'; do sleep 0.1; done
+}
+
+# Usage: gateway_proxy_control CONTROL_JSON
+gateway_proxy_control() {
+    curl -sf -o /dev/null --max-time 2 -X POST -d "$1" "http://$gateway_proxy_admin/control"
+}
+
+# Sends requests for the service "plain" through gateways 2 and 3 and prints the
+# number of the server that answered each. Usage: gateway_servers COUNT
+gateway_servers() {
+    local request gateway
+    for request in $(seq "$1"); do
+        gateway=$((request % 2 + 2))
+        curl -s -o /dev/null --max-time 5 -D - -H "Host: h" -H "Request-Id: r-$RANDOM$RANDOM" \
+            -H "Deadline-Ms: 3000" "http://$fleet_net.5.$gateway:8080/p/x" |
+            sed -n 's/^Response-Seal: *i-\([0-9]*\)\..*/\1/p'
+    done
+}
+
+# Guards against instances that reach the store and use a server for longer than
+# three seconds after the store has acknowledged that it drains, because the
+# instance that reads the store for them is partitioned from it (rule DRAIN).
+case_gateway_partitioned_reader() {
+    local gateway_domain=z1 gateway_has_proxy=1 gateway_first_store="" server late
+    gateway_fleet || return 1
+    gateway_start 3
+    fleet_wait "http://$fleet_net.5.3:8081/ready" || return 1
+    # The members find each other, and gateway 1 reads the store for all.
+    sleep 5
+    # The server that is used most drains.
+    server=$(gateway_servers 40 | sort | uniq -c | sort -n | awk 'END { print $2 }')
+    # The reader's next call begins after the partition.
+    gateway_config 2
+    sleep 0.1
+    gateway_proxy_control '{"silence_existing":true,"silence_new":true}'
+    store_post "/put?key=servers/i-$server" "$(jq -cn --arg address "$fleet_net.1.2:970$server" '
+        {service: "plain", address: $address, zone: "z1", version: "v1",
+         capacity: 3, state: "draining", warmupLeftMs: 0, sequence: 2}')"
+    sleep 3
+    late=$(gateway_servers 40)
+    expect "answers" "$(grep -c . <<<"$late")" -eq 40
+    expect "answers of the draining server" "$(grep -cx "$server" <<<"$late")" -eq 0
+    expect "gateways that learned that the server drains" \
+        "$(grep -l 'state=draining' "$fleet_work"/gateway-[23].log | grep -c .)" -eq 2
+}
+
 # Guards against malformed bytes from a caller that terminate the process or
 # smuggle in a second request.
 case_gateway_malformed() {
