--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -76,6 +76,118 @@
     CHECK(this->ask("GET", "/p/x").result_int() == 200);
 }
 
+namespace
+{
+
+// An entry of another writer in the directory.
+struct odd_entry
+{
+    std::string key;
+    std::string value;
+};
+
+std::string make_entry(const std::string& address = "127.0.0.1:9",
+                       const std::string& more = "")
+{
+    return R"({"service":"plain","address":")" + address +
+           R"(","zone":"z","capacity":1,"state":"ready")" + more + "}";
+}
+
+// Entries that name no server to use: nested deeply, with numbers out of range,
+// with an address or an id that can't be used.
+std::vector<odd_entry> make_odd_entries()
+{
+    constexpr std::size_t depth = 100000;
+    const std::string key = "servers/i-odd";
+    const std::string nested(depth, '[');
+    const std::string objects = [&]
+    {
+        std::string text;
+        for (std::size_t level = 0; level < depth; ++level)
+            text += "{\"a\":";
+        return text;
+    }();
+    return {
+        {key, nested},
+        {key, nested + std::string(depth, ']')},
+        {key, objects},
+        {key, make_entry("127.0.0.1:9",
+                         ",\"x\":" + nested + std::string(depth, ']'))},
+        {key, R"({"service":"plain","address":"127.0.0.1:9","zone":"z",)"
+              R"("capacity":1e999,"state":"ready"})"},
+        {key, R"({"service":"plain","address":"127.0.0.1:9","zone":"z",)"
+              R"("capacity":99999999999999999999999,"state":"ready"})"},
+        {key, R"({"service":"plain","address":"127.0.0.1:9","zone":"z",)"
+              R"("capacity":-1,"state":"ready"})"},
+        {key, make_entry("127.0.0.1:0")},
+        {key, make_entry("127.0.0.1:65536")},
+        {key, make_entry("127.0.0.1:-1")},
+        {key, make_entry("127.0.0.1:99999999999999999999")},
+        {key, make_entry("0.0.0.0:9")},
+        {key, make_entry("224.0.0.1:9")},
+        {key, make_entry("255.255.255.255:9")},
+        {"servers/", make_entry()},
+        {"servers/i odd", make_entry()},
+        {"servers/i-odd\r\nX-Odd: 1", make_entry()},
+        {"servers/i-odd\x7f", make_entry()},
+        {"servers/i-\xc3\xb6"
+         "dd",
+         make_entry()},
+    };
+}
+
+}
+
+// Guards against an odd entry of another writer that ends the process, or after
+// which it no longer follows the list, here or at the instances that it tells.
+TEST_CASE_FIXTURE(gateway_fixture, "odd entries name no server to use")
+{
+    unsigned version = 1;
+    this->put_config(version, 0);
+    this->add_server("plain", "i-1");
+    this->wait_for(1, version);
+    for (const auto& [key, value] : make_odd_entries())
+    {
+        CAPTURE(key);
+        CAPTURE(value.substr(0, 120));
+        this->store.put(key, value);
+        this->put_config(++version, 0);
+        this->wait_for(1, version);
+        // A new list, too.
+        this->store.forget_history();
+        this->put_config(++version, 0);
+        this->wait_for(1, version);
+        this->store.remove(key);
+    }
+    CHECK(this->ask("GET", "/p/x").result_int() == 200);
+}
+
+// Guards against numbers at the end of their range that are accepted here and
+// refused, with all other entries, by the instances that this one tells.
+TEST_CASE_FIXTURE(gateway_fixture, "extreme numbers are passed on")
+{
+    this->put_config(1, 0);
+    for (const char* more :
+         {",\"sequence\":9223372036854775807", ",\"sequence\":1e300",
+          ",\"born\":9223372036854775807", ",\"born\":18446744073709551615",
+          ",\"warmupLeftMs\":9223372036854775807", ",\"warmupLeftMs\":86400000",
+          ",\"warmupLeftMs\":-1", ",\"sequence\":1e999",
+          ",\"sequence\":-1e999"})
+    {
+        CAPTURE(more);
+        this->store.put("servers/i-1", make_entry("127.0.0.1:9", more));
+        this->wait_for(1, 1);
+        const auto text = this->on_worker(
+            [this] { return encode_snapshot(this->watcher->snapshot()); });
+        const auto decoded = decode_snapshot(text);
+        REQUIRE(decoded);
+        CHECK(decoded.value().upstreams.size() == 1);
+        CHECK(encode_snapshot(decoded.value()) == text);
+        this->store.remove("servers/i-1");
+        this->wait_for(0, 1);
+    }
+}
+
 // Guards against an instance that starts while the configuration is unreadable
 // and then knows no upstreams when it has been corrected.
 TEST_CASE_FIXTURE(gateway_fixture, "the directory is read without routes")
