--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -188,6 +188,33 @@
     }
 }
 
+// Guards against a list that ends, or is never read, because a key of another
+// writer at the end of a page is not escaped in the request for the next one.
+TEST_CASE_FIXTURE(gateway_fixture, "an odd key at the end of a page")
+{
+    this->put_config(1, 0);
+    this->wait_for(0, 1);
+    for (const char* odd :
+         {" ", "&", "#", "%", "%41", "+", "?", "\xc3\xb6", "\r\n", "\""})
+    {
+        CAPTURE(odd);
+        this->store.set_mode(store_mode::busy);
+        std::this_thread::sleep_for(100ms);
+        const auto key = "servers/i-m" + std::string(odd);
+        for (std::size_t index = 1; index < stand_in_store::page_items; ++index)
+            this->store.put("servers/i-a" + std::to_string(index),
+                            make_entry());
+        this->store.put(key, "odd");
+        this->store.put("servers/i-z", make_entry());
+        this->store.forget_history();
+        this->store.set_mode(store_mode::normal);
+        this->wait_for(stand_in_store::page_items, 1);
+        this->store.remove(key);
+        this->store.remove("servers/i-z");
+        this->wait_for(stand_in_store::page_items - 1, 1);
+    }
+}
+
 // Guards against an instance that starts while the configuration is unreadable
 // and then knows no upstreams when it has been corrected.
 TEST_CASE_FIXTURE(gateway_fixture, "the directory is read without routes")
