core: Ignore malformed entries of the instance list of /v1

One malformed entry in the platform's list of instances, or a name that was listed twice, made an entry instance refuse the whole list: it stopped following drains and new upstreams until the list was corrected (an operators' report). The suite required that itself, in a row with a name listed twice.

Such entries are left out, counted and logged. A list without any usable entry is still refused, because following it would take every upstream out of use. That row is replaced by one of two malformed entries, and a new test requires for a second entry of a name, and for seven malformed ones, that exactly the odd entry is missing and the others hold.

--- a/Libraries/core/process/directory.cpp
+++ b/Libraries/core/process/directory.cpp
@@ -93,19 +93,20 @@
     BOOST_OUTCOME_TRY(const auto* instances,
                       read_json_array(object, "instances", max_instances));
     list.instances.reserve(instances->size());
+    std::set<std::string> names;
     for (const auto& value : *instances)
     {
-        BOOST_OUTCOME_TRY(auto entry, decode_entry(value));
-        list.instances.push_back(std::move(entry));
-    }
-    std::set<std::string_view> names;
-    for (const auto& entry : list.instances)
-    {
-        if (!names.insert(entry.name).second)
-            return error{error_kind::malformed_request,
-                         "the instance \"" + entry.name +
-                             "\" is listed twice; list each name once"};
+        auto entry = decode_entry(value);
+        if (entry && names.insert(entry.value().name).second)
+            list.instances.push_back(std::move(entry.value()));
+        else
+            ++list.ignored_entries;
     }
+    // Following an empty list would take all upstreams out of use.
+    if (list.instances.empty() && !instances->empty())
+        return error{error_kind::malformed_request,
+                     "\"instances\" has no usable entry; send for each a "
+                     "name, role, address, failure_domain and state"};
     return list;
 }
 
--- a/Libraries/core/process/directory.hpp
+++ b/Libraries/core/process/directory.hpp
@@ -50,6 +50,8 @@
     // Increases with each change of the list.
     std::uint64_t revision = 0;
     std::vector<instance_entry> instances;
+    // Entries that were left out when the list was decoded.
+    std::size_t ignored_entries = 0;
 
     // Returns the instance with this name, or nullptr.
     const instance_entry* find(std::string_view name) const;
@@ -62,9 +64,10 @@
 // Largest accepted list in bytes: 30,000 instances of about 200 bytes each.
 inline constexpr std::size_t max_directory_bytes = 8388608;
 
-// Reads the JSON of GET /instances and of directory.fetch. Fails with
-// malformed_request if the list is too large, is malformed or names an instance
-// twice.
+// Reads the JSON of GET /instances and of directory.fetch. Ignores malformed
+// entries and those of a name that is listed already. Fails with
+// malformed_request if the list itself is malformed or has no usable entry, and
+// with body_too_large.
 result<directory> decode_directory(std::string_view text);
 
 // Writes the JSON that decode_directory reads.
--- a/Programs/entry/control_loop.cpp
+++ b/Programs/entry/control_loop.cpp
@@ -385,6 +385,11 @@
             if (list)
             {
                 revision = list.value().revision;
+                if (list.value().ignored_entries > 0)
+                    log_event(log_level::warning, "directory_entries_ignored",
+                              {{"revision", std::to_string(revision)},
+                               {"entries",
+                                std::to_string(list.value().ignored_entries)}});
                 this->handle_directory(std::move(list.value()));
             }
             else
--- a/Tests/core/process/directory.cpp
+++ b/Tests/core/process/directory.cpp
@@ -47,7 +47,7 @@
         R"({"revision":1,"instances":{}})",
         list("1"),
         list("{}"),
-        list(good + "," + good),
+        list("{},{}"),
         list(R"({"name":"a","role":"x","address":"a","failure_domain":"z",)"
              R"("state":"live"})"),
         list(R"({"name":"a","role":"entry","address":"a",)"
@@ -64,3 +64,32 @@
         CHECK_FALSE(decode_directory(row));
     }
 }
+
+// Guards against one malformed entry, or a second one of the same name, that
+// keeps the instance from following the others.
+TEST_CASE("malformed entries of an instance list are ignored")
+{
+    const auto make = [](const std::string& name, const std::string& state)
+    {
+        return R"({"name":")" + name +
+               R"(","role":"entry","address":"a","failure_domain":"z",)" +
+               R"("state":")" + state + "\"}";
+    };
+    for (const std::string& odd :
+         {std::string("1"), std::string("{}"), std::string("[[[[[]]]]]"),
+          std::string("1e999"), std::string("99999999999999999999999"),
+          make("b", "gone"), make("a", "leaving"),
+          make(std::string(200, 'n'), "live")})
+    {
+        CAPTURE(odd);
+        const auto read = decode_directory(R"({"revision":7,"instances":[)" +
+                                           make("a", "live") + "," + odd + "," +
+                                           make("c", "leaving") + "]}");
+        REQUIRE(read);
+        CHECK(read.value().revision == 7);
+        CHECK(read.value().ignored_entries == 1);
+        REQUIRE(read.value().instances.size() == 2);
+        CHECK(read.value().instances[0].state == instance_state::live);
+        CHECK(read.value().instances[1].name == "c");
+    }
+}
