net: Test that a reply that breaks off anywhere is a failure

An operators' report: a server stopped in the middle of its answer's head, and callers got 200 with an empty or short body. The stand-in server can break off within the head, too, and the gateway answers 502.

--- a/StandIns/server/stand_in_server.cpp
+++ b/StandIns/server/stand_in_server.cpp
@@ -32,6 +32,7 @@
     named_mode{"fail", server_mode::fail},
     named_mode{"lose", server_mode::lose},
     named_mode{"truncate", server_mode::truncate},
+    named_mode{"truncate_head", server_mode::truncate_head},
     named_mode{"garble", server_mode::garble},
     named_mode{"repeat_reply", server_mode::repeat_reply},
     named_mode{"repeat_refusal", server_mode::repeat_refusal},
@@ -100,6 +101,8 @@
         return {"", true};
     case server_mode::truncate:
         return {complete.substr(0, complete.size() - 1), true};
+    case server_mode::truncate_head:
+        return {format_head(reply), true};
     case server_mode::garble:
         return {"\x01\x02 no reply\r\n\r\n", true};
     case server_mode::repeat_reply:
--- a/StandIns/server/stand_in_server.hpp
+++ b/StandIns/server/stand_in_server.hpp
@@ -31,6 +31,8 @@
     lose,
     // Runs the request and closes the connection within the reply's body.
     truncate,
+    // Runs the request and closes the connection within the reply's head.
+    truncate_head,
     // Runs the request and sends bytes that are not an HTTP reply.
     garble,
     // Runs the request and sends two replies with different bodies.
--- a/Tests/gateway/forwarder.cpp
+++ b/Tests/gateway/forwarder.cpp
@@ -29,6 +29,7 @@
           scenario{server_mode::fail, 500, 500, 4, 1},
           scenario{server_mode::lose, 502, 502, 4, 1},
           scenario{server_mode::truncate, 502, 502, 4, 1},
+          scenario{server_mode::truncate_head, 502, 502, 4, 1},
           scenario{server_mode::garble, 502, 502, 4, 1},
           scenario{server_mode::wrong_id, 502, 502, 4, 1},
           scenario{server_mode::unsigned_reply, 502, 502, 4, 1}})
