net: Close the connection of a cancelled request without a reply

Its request is cancelled, because a closed sending side can't be told from a full close, and the handler's empty reply was written.

Handlers can withhold a reply now; gateway and /v1/query do so for a caller that has left. The new test of gateway/forwarder got status 200 before and no reply after. The handler of /v1/query has no test of its own.

--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -50,6 +50,8 @@
     // Empty when `headers` contains it or the reply has none.
     std::string content_type = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
+    // The connection is closed without a reply: the caller has left.
+    bool is_withheld = false;
     // Content-Length to send instead of the body's length; the connection is
     // closed after the body. Lets test servers send truncated replies.
     std::optional<std::size_t> announced_length;
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -115,6 +115,8 @@
     auto reply = co_await this->run_handler(std::move(request));
     ++this->request_phase;
     this->stream.socket().cancel(failure);
+    if (reply.is_withheld)
+        co_return false;
     co_return co_await this->write_reply(std::move(reply), wants_keep_alive);
 }
 
--- a/Programs/entry/query_api.cpp
+++ b/Programs/entry/query_api.cpp
@@ -123,7 +123,7 @@
     // The caller has closed its connection, and an abandoned query has no
     // coverage to record.
     if (request.is_peer_gone != nullptr && *request.is_peer_gone)
-        co_return http_reply{};
+        co_return http_reply{.is_withheld = true};
     co_return this->reply_to(resolved.value(), request.received, answer);
 }
 
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -141,7 +141,8 @@
     if (!outcome)
     {
         this->log.record_abandoned(accepted, clock_now());
-        co_return http_reply{};
+        // The caller may have closed its sending side only and still read.
+        co_return http_reply{.is_withheld = true};
     }
     co_return this->make_reply(accepted, std::move(*outcome));
 }
--- a/Tests/gateway/forwarder.cpp
+++ b/Tests/gateway/forwarder.cpp
@@ -215,6 +215,22 @@
     CHECK(wait_until([&] { return server.abandoned() == 1; }));
 }
 
+// Guards against an empty 200 for a caller that closes its sending side only,
+// which cancels its request as a full close does (rule MIXED).
+TEST_CASE_FIXTURE(gateway_fixture, "a cancelled request is not answered")
+{
+    auto& server = this->add_server("plain", "i-1");
+    server.set_mode(server_mode::silent);
+    this->put_config(1, 0);
+    this->wait_for(1, 1);
+    raw_client caller(this->caller_server->endpoint());
+    caller.send(this->make_request("GET", "/p/x", 60000));
+    REQUIRE(wait_until([&] { return server.runs().size() == 1; }));
+    caller.half_close();
+    CHECK(caller.read().result_int() == 0);
+    CHECK(wait_until([&] { return server.abandoned() == 1; }));
+}
+
 // Guards against 404 for a route that a newer version may hold, and against an
 // answer other than 503 while no configuration is known.
 TEST_CASE_FIXTURE(gateway_fixture, "404 is sent only when routes are known")
