gateway: Refuse late requests of a planned stop and answer the last ones

An operators' report: requests that came late in the grace of a planned stop were passed on and cut with no answer at its end, among them requests that may not be repeated (LOST). It happened here: a connection that has not sent a request stays open until the end, and whatever came on it was forwarded. Any request that was still running at the end was cut as well.

Once connections are no longer accepted, requests are refused with 503 without being sent. At the end of the grace the running ones get a final answer: the merged parts if they meet the floor, 503 if nothing was sent, 504 if the request may have run.

A test of fan_out covers the four ways in which a request can expire.

--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -111,6 +111,16 @@
     return this->take_actions(now);
 }
 
+std::vector<fan_out::action> fan_out::expire(time_point now)
+{
+    if (this->has_ended)
+        return {};
+    this->config.deadline = std::min(this->config.deadline, now);
+    this->config.answer_by = std::min(this->config.answer_by, now);
+    this->end_if_decided(now);
+    return this->take_actions(now);
+}
+
 std::vector<fan_out::action> fan_out::abandon()
 {
     this->has_ended = true;
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -153,6 +153,9 @@
     // the upstream running it.
     void handle_sent(attempt_id attempt);
     std::vector<action> handle_timer(time_point now);
+    // Ends the request as if its deadline were now, with the legs that are
+    // answered if they meet the coverage floor.
+    std::vector<action> expire(time_point now);
     // Releases every attempt after the caller has disconnected. Returns no
     // finish action.
     std::vector<action> abandon();
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -53,10 +53,10 @@
                             duration retry_after = min_retry_after)
 {
     using seconds = std::chrono::duration<double>;
-    const seconds wait = std::max<duration>(retry_after, min_retry_after);
     auto reply =
         make_error_reply(status_unavailable, {error_kind::overloaded, message});
-    reply.headers.emplace_back("Retry-After", std::to_string(wait.count()));
+    reply.headers.emplace_back("Retry-After",
+                               std::to_string(seconds(retry_after).count()));
     return reply;
 }
 
@@ -67,7 +67,8 @@
         return make_unavailable("no upstream could take the request; retry");
     return make_unavailable(
         "the upstreams limit the rate of requests; retry later",
-        *outcome.next_allowed_send - clock_now());
+        std::max<duration>(*outcome.next_allowed_send - clock_now(),
+                           min_retry_after));
 }
 
 // Passes on an upstream's status, end-to-end headers and body.
@@ -99,6 +100,8 @@
     accepted.id = std::string(
         find_header(request.headers, this->config.header_names.request_id)
             .value_or(""));
+    if (this->is_refusing)
+        co_return this->refuse_at_shutdown(accepted.id);
     accepted.routes = this->config.state->routes;
     if (accepted.routes)
         accepted.route = accepted.routes->find(
@@ -137,7 +140,9 @@
             .plan = std::move(plan),
             .rate_limits = &this->config.state->rate_limits,
             .log = &this->log});
+    this->running.insert(session);
     auto outcome = co_await session->run();
+    this->running.erase(session);
     if (!outcome)
     {
         this->log.record_abandoned(accepted, clock_now());
@@ -147,6 +152,27 @@
     co_return this->make_reply(accepted, std::move(*outcome));
 }
 
+void forwarder::refuse_requests()
+{
+    this->is_refusing = true;
+}
+
+void forwarder::expire_requests()
+{
+    const auto sessions = this->running;
+    for (const auto& session : sessions)
+        session->expire();
+}
+
+http_reply forwarder::refuse_at_shutdown(const std::string& id)
+{
+    this->log.record_refused(id, "shutdown", status_unavailable, clock_now());
+    // Other instances can take the request at once.
+    return make_unavailable(
+        "this instance is shutting down; ask another instance",
+        duration::zero());
+}
+
 http_reply forwarder::refuse_unrouted(const http_request& request,
                                       const std::string& id)
 {
--- a/Programs/gateway/forwarder.hpp
+++ b/Programs/gateway/forwarder.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,11 @@
     explicit forwarder(options opts);
 
     boost::asio::awaitable<http_reply> handle(http_request request);
+    // From now on requests are refused without being sent, so that their
+    // callers can ask another instance.
+    void refuse_requests();
+    // Ends the requests that are still running: each gets a final answer.
+    void expire_requests();
 
 private:
     boost::asio::awaitable<http_reply> forward(http_request request,
@@ -44,6 +50,7 @@
     // or may be stale, otherwise 404.
     http_reply refuse_unrouted(const http_request& request,
                                const std::string& id);
+    http_reply refuse_at_shutdown(const std::string& id);
     fan_out::options make_plan(const accepted_request& accepted);
     http_reply make_reply(const accepted_request& accepted,
                           forwarded_request outcome);
@@ -52,6 +59,8 @@
 
     options config;
     request_log log;
+    std::set<std::shared_ptr<request_session>> running;
+    bool is_refusing = false;
 };
 
 }
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -32,6 +32,8 @@
 // Subtracted from the shutdown grace, so that the process ends before it is
 // killed.
 constexpr std::chrono::milliseconds shutdown_grace_margin{600};
+// Part of that margin in which the last answers are written.
+constexpr std::chrono::milliseconds final_answer_time{300};
 // Idle connections of callers are kept longer than callers reuse them.
 constexpr std::chrono::milliseconds idle_timeout_margin{1000};
 
@@ -230,9 +232,13 @@
     const auto drain_end = started + grace - shutdown_grace_margin;
     this->caller_server.stop_accepting().wait_until(drain_end);
     std::this_thread::sleep_for(first_request_wait);
-    while (this->caller_server.running_requests() > 0 &&
-           std::chrono::steady_clock::now() < drain_end)
-        std::this_thread::sleep_for(drain_poll_interval);
+    // A request that arrives now might not end within the grace.
+    asio::post(this->workers.at(0),
+               [this] { this->requests.refuse_requests(); });
+    this->wait_for_requests(drain_end);
+    asio::post(this->workers.at(0),
+               [this] { this->requests.expire_requests(); });
+    this->wait_for_requests(drain_end + final_answer_time);
     log_event(
         log_level::info, "shutdown_finished",
         {{"running", std::to_string(this->caller_server.running_requests())}});
@@ -240,6 +246,13 @@
     this->workers.stop();
 }
 
+void gateway_process::wait_for_requests(time_point end) const
+{
+    while (this->caller_server.running_requests() > 0 &&
+           std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(drain_poll_interval);
+}
+
 asio::awaitable<http_reply> gateway_process::answer_ready(http_request)
 {
     http_reply reply;
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -63,6 +63,8 @@
     // Logs each second how this instance uses the upstreams with a rate limit.
     void watch_rate_limits();
     void drain();
+    // Waits until no request of a caller is running, but not after `end`.
+    void wait_for_requests(time_point end) const;
 
     std::string settings_path;
     gateway_settings settings;
--- a/Programs/gateway/request_log.cpp
+++ b/Programs/gateway/request_log.cpp
@@ -128,6 +128,20 @@
                {"left_out", std::to_string(*left_out)}});
 }
 
+void request_log::record_refused(const std::string& id, std::string_view reason,
+                                 unsigned status, time_point now)
+{
+    this->measures->observe_request("none", status, duration(0));
+    const auto left_out = this->notable_lines.admit(now);
+    if (!left_out)
+        return;
+    log_event(log_level::warning, "request_refused",
+              {{"id", id},
+               {"reason", std::string(reason)},
+               {"status", std::to_string(status)},
+               {"left_out", std::to_string(*left_out)}});
+}
+
 void request_log::record_unrouted(const std::string& id,
                                   const http_request& request,
                                   std::uint64_t version, duration source_age,
--- a/Programs/gateway/request_log.hpp
+++ b/Programs/gateway/request_log.hpp
@@ -61,6 +61,9 @@
                     time_point now);
     void record_attempt(const ended_attempt& attempt);
     void record_abandoned(const accepted_request& accepted, time_point now);
+    // Records a request that was answered with `status` without being sent.
+    void record_refused(const std::string& id, std::string_view reason,
+                        unsigned status, time_point now);
     // Records a request that matches no route and was answered with `status`.
     // `version` is 0 when no routes are known.
     void record_unrouted(const std::string& id, const http_request& request,
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -81,6 +81,12 @@
     co_return std::move(this->outcome);
 }
 
+void request_session::expire()
+{
+    if (!this->has_ended)
+        this->apply(this->decisions.expire(clock_now()));
+}
+
 void request_session::apply(const std::vector<fan_out::action>& actions)
 {
     for (const auto& action : actions)
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -75,6 +75,8 @@
     // Runs the request to its end. Returns nothing when the caller has closed
     // its connection. Must be called once, on the worker.
     boost::asio::awaitable<std::optional<forwarded_request>> run();
+    // Ends the request now, with what is known of its outcome.
+    void expire();
 
 private:
     // A call that has not ended.
--- a/Tests/core/request/fan_out.cpp
+++ b/Tests/core/request/fan_out.cpp
@@ -251,6 +251,42 @@
     }
 }
 
+// Guards against a request that is cut without an answer at the end of a
+// shutdown, and against one that is then reported not_run although it may run.
+TEST_CASE("an expired request ends with what is known")
+{
+    struct scenario
+    {
+        const char* what;
+        unsigned answered, sent;
+        fan_out_result result;
+    };
+    using enum fan_out_result;
+    for (const auto& each :
+         {scenario{"enough answers", 6, 4, answered},
+          scenario{"too few answers", 5, 5, timed_out},
+          scenario{"no answer", 0, 10, timed_out},
+          scenario{"only waiting for connections", 0, 0, not_run}})
+    {
+        CAPTURE(each.what);
+        fan_out_fixture fixture(10, 1, 0);
+        fixture.plan.min_coverage = 0.6;
+        fixture.plan.max_attempts = 1;
+        fixture.run();
+        for (unsigned leg = 0; leg < each.answered; ++leg)
+            fixture.finish(leg, attempt_outcome::answered, 10ms);
+        for (unsigned leg = 0; leg < each.sent; ++leg)
+            fixture.request->handle_sent(
+                fixture.sends[each.answered + leg].attempt);
+        CHECK_FALSE(fixture.end);
+        fixture.apply(fixture.request->expire(start + 20ms));
+        REQUIRE(fixture.end);
+        CHECK(fixture.end->result == each.result);
+        CHECK(fixture.released.size() == 10 - each.answered);
+        CHECK(fixture.request->expire(start + 30ms).empty());
+    }
+}
+
 // Guards against waiting when there is no upstream, and against sending a
 // request that can't reach its coverage floor.
 TEST_CASE("a request that can't be served is refused at once")
--- a/Tests/process/gateway.sh
+++ b/Tests/process/gateway.sh
@@ -97,6 +97,33 @@
     expect "reloads" "$(grep -c event=reloaded "$fleet_work/gateway-2.log")" -eq 1
 }
 
+# Guards against a planned stop that takes a request late, passes it on and cuts
+# it at the end of the grace, and against one that ends a running request without
+# an answer (rule LOST).
+case_gateway_late_requests() {
+    local late status=""
+    gateway_fleet --delay_ms=6000 || return 1
+    exec {late}<>"/dev/tcp/$fleet_net.5.1/8080"
+    curl -s -o /dev/null --max-time 9 -w '%{http_code}\n' -X POST -H "Host: h" \
+        -H "Request-Id: early" -H "Deadline-Ms: 8000" \
+        "http://$fleet_net.5.1:8080/once/x" >"$fleet_work/early" &
+    request_pids=($!)
+    sleep 0.2
+    fleet_signal gateway-1 TERM
+    sleep 2.4
+    printf '%s\r\n' 'POST /once/x HTTP/1.1' 'Host: h' 'Request-Id: late' \
+        'Deadline-Ms: 8000' 'Content-Length: 0' '' >&"$late"
+    read -r -t 5 _ status _ <&"$late"
+    wait "${request_pids[@]}"
+    fleet_join gateway-1
+    expect "exit status" "$?" -eq 0
+    exec {late}>&-
+    expect "status of the late request" "${status:-0}" -eq 503
+    expect "log lines of the late request's sends" \
+        "$(grep 'id=late ' "$fleet_work/gateway-1.log" | grep -vc event=request_refused)" -eq 0
+    expect "status of the early request" "$(cat "$fleet_work/early")" -eq 504
+}
+
 # Guards against an instance that can't start while the store is down, or that
 # starts with an outdated configuration: its peers have the current one.
 case_gateway_peers() {
