net: Limit the memory of all replies that are being received

Each reply may hold 16 MiB, and nothing limited all of them together; a test bounded one reply only.

reply_memory counts what the replies of a worker hold and gives up the largest when they exceed the limit, 32 MiB in the gateway. Replies without end are the largest, so that whole answers pass meanwhile. A smaller limit for each reply would have to shrink with the number of servers in trouble.

--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -47,11 +47,13 @@
                                  std::string upstream,
                                  upstream_address initial_address,
                                  upstream_pool::options pool_options,
+                                 std::shared_ptr<reply_memory> reply_limit,
                                  finish_handler handler)
     : worker(worker_context)
     , name(std::move(upstream))
     , address(std::move(initial_address))
     , values(std::move(pool_options))
+    , memory(std::move(reply_limit))
     , on_finish(std::move(handler))
     , queue({.connection_share = this->address.connection_share,
              .min_limit = this->address.min_concurrency})
@@ -197,7 +199,7 @@
                      : duration(this->values.attempt_timeout));
     auto exchange = co_await connection->exchange(
         task->call, first_byte_deadline, *this->values.dialect,
-        this->values.max_reply_bytes);
+        this->values.max_reply_bytes, *this->memory);
     if (!task->is_cancelled)
         this->end_sent(task, std::move(exchange), started);
 }
--- a/Libraries/net/upstream_client.hpp
+++ b/Libraries/net/upstream_client.hpp
@@ -1,6 +1,7 @@
 #ifndef WISTERIAHATCH_NET_UPSTREAM_CLIENT_HPP
 #define WISTERIAHATCH_NET_UPSTREAM_CLIENT_HPP
 
+#include "core/connection/reply_memory.hpp"
 #include "core/connection/upstream_queue.hpp"
 #include "net/idle_connections.hpp"
 #include "net/upstream_connection.hpp"
@@ -48,6 +49,7 @@
 
     upstream_client(asio::io_context& worker, std::string name,
                     upstream_address address, upstream_pool::options opts,
+                    std::shared_ptr<reply_memory> memory,
                     finish_handler handler);
 
     const tcp::endpoint& endpoint() const;
@@ -101,6 +103,8 @@
     std::string name;
     upstream_address address;
     upstream_pool::options values;
+    // Shared by the upstreams of the worker.
+    std::shared_ptr<reply_memory> memory;
     finish_handler on_finish;
     upstream_queue queue;
     std::map<call_id, task_ptr> tasks;
--- a/Libraries/net/upstream_connection.cpp
+++ b/Libraries/net/upstream_connection.cpp
@@ -81,9 +81,11 @@
     co_return failure;
 }
 
-asio::awaitable<upstream_exchange> upstream_connection::exchange(
-    const upstream_call& call, time_point first_byte_deadline,
-    const upstream_dialect& dialect, std::size_t max_reply_bytes)
+asio::awaitable<upstream_exchange>
+upstream_connection::exchange(const upstream_call& call,
+                              time_point first_byte_deadline,
+                              const upstream_dialect& dialect,
+                              std::size_t max_reply_bytes, reply_memory& memory)
 {
     const auto started = std::chrono::steady_clock::now();
     this->is_usable = false;
@@ -98,17 +100,21 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_reply_bytes);
     parser.skip(request.method() == http::verb::head);
+    reply_memory::reservation reservation(memory, [this] { this->close(); });
     bool was_silent = true;
-    while (!failure && !parser.is_done())
+    while (!failure && !parser.is_done() && !reservation.is_given_up())
     {
         const auto bytes = co_await http::async_read_some(
             this->stream, this->buffer, parser, store_error(failure));
+        reservation.resize(parser.get().body().size() + this->buffer.size());
         if (bytes == 0 || !was_silent)
             continue;
         was_silent = false;
         this->waiting_since.reset();
         this->stream.expires_at(call.deadline);
     }
+    if (reservation.is_given_up())
+        co_return this->make_given_up_failure();
     if (failure)
     {
         auto failed = this->make_failure(failure);
@@ -227,6 +233,17 @@
     return upstream_exchange{std::move(outcome), {}, false};
 }
 
+upstream_exchange upstream_connection::make_given_up_failure() const
+{
+    upstream_failure outcome;
+    outcome.was_sent = true;
+    outcome.kind = error_kind::reply_too_large;
+    outcome.message = "the reply of " + format_endpoint(this->endpoint) +
+                      " was the largest when all replies together exceeded the "
+                      "memory limit; check what the upstream sends";
+    return upstream_exchange{std::move(outcome), {}, false};
+}
+
 upstream_exchange upstream_connection::make_mismatched_reply_failure() const
 {
     upstream_failure outcome;
--- a/Libraries/net/upstream_connection.hpp
+++ b/Libraries/net/upstream_connection.hpp
@@ -2,6 +2,7 @@
 #define WISTERIAHATCH_NET_UPSTREAM_CONNECTION_HPP
 
 #include "core/base/time.hpp"
+#include "core/connection/reply_memory.hpp"
 #include "net/beast.hpp"
 #include "net/upstream_dialect.hpp"
 #include "net/upstream_pool.hpp"
@@ -38,7 +39,8 @@
     asio::awaitable<upstream_exchange> exchange(const upstream_call& call,
                                                 time_point first_byte_deadline,
                                                 const upstream_dialect& dialect,
-                                                std::size_t max_reply_bytes);
+                                                std::size_t max_reply_bytes,
+                                                reply_memory& memory);
     void close();
     // True when the current request was sent more than `limit` ago and no byte
     // of its reply has arrived.
@@ -60,6 +62,9 @@
                                    const upstream_dialect& dialect,
                                    time_point now) const;
     upstream_exchange make_failure(const error_code& failure) const;
+    // Returns the outcome of an exchange whose reply was given up to save
+    // memory.
+    upstream_exchange make_given_up_failure() const;
     // Returns the outcome of an exchange whose reply answers another request.
     upstream_exchange make_mismatched_reply_failure() const;
 
--- a/Libraries/net/upstream_pool.cpp
+++ b/Libraries/net/upstream_pool.cpp
@@ -45,6 +45,8 @@
     std::uint64_t last_call_number = 0;
     // Upstreams that this worker owns, by name.
     std::map<std::string, client_ptr> clients;
+    // Limits the replies that this worker receives.
+    std::shared_ptr<reply_memory> memory;
     // Calls to the upstreams of this worker, by id.
     std::unordered_map<std::uint64_t, client_ptr> submitted;
 };
@@ -60,6 +62,9 @@
         , values(std::move(pool_options))
         , worker_states(pool.size())
     {
+        const auto share = this->values.max_total_reply_bytes / pool.size();
+        for (auto& each : this->worker_states)
+            each.memory = std::make_shared<reply_memory>(share);
     }
 
     void set_upstreams(std::map<std::string, upstream_address> upstreams)
@@ -192,6 +197,7 @@
             }
             client = std::make_shared<upstream_client>(
                 this->workers.at(worker), name, address, this->values,
+                local.memory,
                 [self = this->weak_from_this(), worker](call_id id,
                                                         upstream_result outcome)
                 {
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -125,6 +125,9 @@
     struct options
     {
         std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
+        // Limit on all replies that are being received, divided among the
+        // workers; see reply_memory.
+        std::size_t max_total_reply_bytes = std::size_t{64} * 1024 * 1024;
         std::chrono::milliseconds connect_timeout{1000};
         std::chrono::seconds idle_timeout{15};
         // First-byte timeout of calls that set none. A call's deadline may be
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -57,6 +57,8 @@
 {
     upstream_pool::options chosen;
     chosen.max_reply_bytes = std::size_t{16} * 1024 * 1024;
+    // A buffer may be twice as large as what it holds.
+    chosen.max_total_reply_bytes = std::size_t{32} * 1024 * 1024;
     chosen.connect_timeout = std::chrono::milliseconds(300);
     chosen.failure_penalty = std::chrono::milliseconds(200);
     chosen.dialect = std::move(dialect);
--- a/Tests/net/endless_reply.cpp
+++ b/Tests/net/endless_reply.cpp
@@ -2,6 +2,7 @@
 #include "net/pool_fixture.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <deque>
 #include <doctest/doctest.h>
 #include <string>
 #include <thread>
@@ -138,3 +139,43 @@
         CHECK(server.largest_reply() < max_accepted_bytes);
     }
 }
+
+// Guards against an instance that exceeds its memory because many upstreams
+// send replies without end, each of them within the limit of one reply (rule
+// Fault, case 3 of the review).
+TEST_CASE_FIXTURE(pool_fixture, "replies without end share a limit")
+{
+    constexpr std::size_t count = 4;
+    this->create_pool({.max_reply_bytes = std::size_t{1} << 30U,
+                       .max_total_reply_bytes = std::size_t{1} << 20U},
+                      1);
+    std::deque<endless_upstream> servers;
+    std::map<std::string, upstream_address> addresses;
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        const auto name = "u" + std::to_string(index);
+        servers.emplace_back("HTTP/1.1 200 OK\r\n\r\n", "x");
+        addresses.emplace(
+            name, upstream_address{
+                      .endpoint = servers.back().endpoint(),
+                      .connection_share = 1,
+                      .state = std::make_shared<upstream_state>(
+                          name, "zone", std::chrono::steady_clock::now())});
+    }
+    this->pool->set_upstreams(addresses);
+    std::vector<std::future<upstream_result>> calls;
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        auto call = make_call("/any");
+        call.replica = "u" + std::to_string(index);
+        calls.push_back(this->start(std::move(call)));
+    }
+    for (auto& call : calls)
+    {
+        const auto outcome = call.get();
+        REQUIRE_FALSE(outcome.has_value());
+        CHECK(outcome.error().kind == error_kind::reply_too_large);
+    }
+    for (const auto& server : servers)
+        CHECK(server.largest_reply() < max_accepted_bytes);
+}
