gateway: Follow what upstreams say of themselves in their replies

Upstreams state in all replies that they leave (Server-Leaving: 1), and in a refusal how long they want no requests from the instance (503 with Retry-After). Neither was read: with a directory that lists the server as ready, all 15 requests of the new test went to one that had said that it leaves, and a server that wanted a pause got 12 sends in three requests.

upstream_signals keeps both for each start of an upstream. The choice of an upstream and the last check before a send ask it; queued calls end at once and go elsewhere. A leaving upstream is the last choice from its first statement on and gets nothing from two seconds after it, whatever the directory says. When all copies pause, the request is refused with the first end as Retry-After. The registry keeps what was said when an entry is dropped and listed again by the same start.

Not done: steps at the end of a pause, spreading by gossip, counters, process tests.

--- a/Libraries/core/connection/upstream_choice.cpp
+++ b/Libraries/core/connection/upstream_choice.cpp
@@ -58,7 +58,8 @@
     upstream_rank best_rank;
     for (const auto& each : group)
     {
-        if (each->state->is_misdirected(now))
+        const auto& signals = each->state->signals();
+        if (each->state->is_misdirected(now) || !signals.may_send(now))
             continue;
         double penalty = 0;
         if (each->spec.failure_domain != failure_domain)
@@ -66,7 +67,8 @@
         if (!each->state->is_in_subset())
             penalty += to_score(outside_subset_penalty);
         const upstream_rank rank{
-            .is_leaving = each->leaving_since.has_value(),
+            .is_leaving =
+                each->leaving_since.has_value() || signals.is_leaving(),
             .is_ejected = each->state->is_ejected(now),
             .score = each->state->score(now, typical_latency) * jitter(random) +
                      penalty};
--- /dev/null
+++ b/Libraries/core/connection/upstream_signals.cpp
@@ -0,0 +1,63 @@
+#include "core/connection/upstream_signals.hpp"
+
+#include <algorithm>
+
+namespace wisteriahatch
+{
+
+namespace
+{
+
+time_point::rep to_ticks(time_point time)
+{
+    return time.time_since_epoch().count();
+}
+
+time_point to_time(time_point::rep ticks)
+{
+    return time_point(duration(ticks));
+}
+
+}
+
+bool upstream_signals::record_leaving(time_point now)
+{
+    time_point::rep unset = 0;
+    return this->leaving_since.compare_exchange_strong(unset, to_ticks(now));
+}
+
+bool upstream_signals::record_pause(duration length, time_point now)
+{
+    const auto end = to_ticks(now + std::min<duration>(length, max_pause));
+    auto known = this->pause_end.load();
+    while (known < end)
+        if (this->pause_end.compare_exchange_weak(known, end))
+            return true;
+    return false;
+}
+
+bool upstream_signals::is_leaving() const
+{
+    return this->leaving_since != 0;
+}
+
+std::optional<time_point> upstream_signals::paused_until(time_point now) const
+{
+    const auto end = to_time(this->pause_end);
+    return now < end ? std::optional(end) : std::nullopt;
+}
+
+bool upstream_signals::may_send(time_point now) const
+{
+    const bool has_left =
+        this->is_leaving() &&
+        now >= to_time(this->leaving_since) + duration(leaving_grace);
+    return !has_left && !this->paused_until(now);
+}
+
+bool upstream_signals::has_any() const
+{
+    return this->is_leaving() || this->pause_end != 0;
+}
+
+}
--- /dev/null
+++ b/Libraries/core/connection/upstream_signals.hpp
@@ -0,0 +1,49 @@
+#ifndef WISTERIAHATCH_CORE_CONNECTION_UPSTREAM_SIGNALS_HPP
+#define WISTERIAHATCH_CORE_CONNECTION_UPSTREAM_SIGNALS_HPP
+
+#include "core/base/time.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace wisteriahatch
+{
+
+// What one start of an upstream has said of itself in its replies: that it
+// leaves, and until when it wants no requests from this instance. Only a new
+// start of the upstream clears it, whatever the directory says. Workers read
+// and update it at the same time. Does no I/O and reads no clock.
+class upstream_signals
+{
+public:
+    // How long a leaving upstream is used while its service has no better one.
+    // It must get nothing from three seconds after its first statement on.
+    static constexpr std::chrono::milliseconds leaving_grace{2000};
+    // Longer pauses are shortened to this.
+    static constexpr std::chrono::minutes max_pause{10};
+
+    // Each of these returns whether it changed what is known. Of several pauses
+    // the latest end holds.
+    bool record_leaving(time_point now);
+    bool record_pause(duration length, time_point now);
+
+    bool is_leaving() const;
+    // End of the pause; empty when the upstream has not asked for one or it is
+    // over.
+    std::optional<time_point> paused_until(time_point now) const;
+    // False when the upstream must get no request now.
+    bool may_send(time_point now) const;
+    // True when the upstream has said anything, in the past, too.
+    bool has_any() const;
+
+private:
+    // Times since the epoch of time_point; 0 for never.
+    std::atomic<time_point::rep> leaving_since{0};
+    std::atomic<time_point::rep> pause_end{0};
+};
+
+}
+
+#endif
--- a/Libraries/core/connection/upstream_state.cpp
+++ b/Libraries/core/connection/upstream_state.cpp
@@ -135,6 +135,16 @@
     return this->draining;
 }
 
+upstream_signals& upstream_state::signals()
+{
+    return this->own_signals;
+}
+
+const upstream_signals& upstream_state::signals() const
+{
+    return this->own_signals;
+}
+
 void upstream_state::set_in_subset(bool value)
 {
     this->in_subset = value;
--- a/Libraries/core/connection/upstream_state.hpp
+++ b/Libraries/core/connection/upstream_state.hpp
@@ -3,6 +3,7 @@
 
 #include "core/base/ids.hpp"
 #include "core/base/time.hpp"
+#include "core/connection/upstream_signals.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -82,6 +83,10 @@
     void set_draining(bool value);
     bool is_draining() const;
 
+    // What the upstream has said of itself in its replies.
+    upstream_signals& signals();
+    const upstream_signals& signals() const;
+
     // Whether the upstream is in the subset to which this process keeps
     // connections; see upstream_subset. True by default.
     void set_in_subset(bool value);
@@ -129,6 +134,7 @@
     std::atomic<std::int64_t> ejected_until_nanoseconds{0};
     std::atomic<std::int64_t> misdirected_until_nanoseconds{0};
     std::atomic<bool> draining{false};
+    upstream_signals own_signals;
     std::atomic<bool> in_subset{true};
     std::atomic<double> load{0};
     std::atomic<std::uint64_t> versions[max_versions]{};
--- a/Libraries/core/process/upstream_registry.cpp
+++ b/Libraries/core/process/upstream_registry.cpp
@@ -7,6 +7,18 @@
 namespace wisteriahatch
 {
 
+namespace
+{
+
+// True when both entries were written by the same start of an upstream.
+bool is_same_upstream(const upstream_spec& left, const upstream_spec& right)
+{
+    return left.start == right.start && left.address == right.address &&
+           left.service == right.service;
+}
+
+}
+
 bool upstream_registry::set(const upstream_spec& spec, time_point now,
                             std::optional<time_point> unchanged_at)
 {
@@ -50,10 +62,8 @@
     // It is unknown how long it has been draining; it may be about to stop.
     if (!is_known && spec.is_draining)
         return false;
-    const bool is_same_start = is_known &&
-                               found->second->spec.start == spec.start &&
-                               found->second->spec.address == spec.address &&
-                               found->second->spec.service == spec.service;
+    const bool is_same_start =
+        is_known && is_same_upstream(found->second->spec, spec);
     // The remaining warm-up is read only once per start, so it isn't compared.
     if (is_same_start && found->second->spec.slots == spec.slots &&
         found->second->spec.failure_domain == spec.failure_domain &&
@@ -62,13 +72,7 @@
         return false;
     auto entry = std::make_shared<registered_upstream>();
     entry->spec = spec;
-    if (is_same_start)
-        entry->state = found->second->state;
-    else
-        entry->state = std::make_shared<upstream_state>(
-            spec.id, spec.failure_domain,
-            now + spec.warm_up_left -
-                duration(upstream_state::cold_start_duration));
+    entry->state = this->state_for(spec, now);
     if (spec.is_draining)
         entry->leaving_since =
             is_same_start ? found->second->leaving_since.value_or(unchanged_at)
@@ -79,6 +83,33 @@
     return true;
 }
 
+std::shared_ptr<upstream_state>
+upstream_registry::state_for(const upstream_spec& spec, time_point now) const
+{
+    const auto known = this->upstreams.find(spec.id);
+    if (known != this->upstreams.end() &&
+        is_same_upstream(known->second->spec, spec))
+        return known->second->state;
+    const auto earlier = this->dropped.find(spec.id);
+    if (earlier != this->dropped.end() &&
+        is_same_upstream(earlier->second.spec, spec))
+        return earlier->second.state;
+    return std::make_shared<upstream_state>(
+        spec.id, spec.failure_domain,
+        now + spec.warm_up_left -
+            duration(upstream_state::cold_start_duration));
+}
+
+void upstream_registry::remember_signals(const registered_upstream& entry,
+                                         time_point now)
+{
+    if (entry.state->signals().has_any())
+        this->dropped.insert_or_assign(entry.spec.id,
+                                       dropped_upstream{.spec = entry.spec,
+                                                        .state = entry.state,
+                                                        .dropped_at = now});
+}
+
 bool upstream_registry::remove(std::string_view id, time_point now,
                                std::optional<time_point> unchanged_at)
 {
@@ -127,7 +158,12 @@
             *entry->leaving_since + leaving_grace <= now)
             expired.push_back(entry);
     for (const auto& entry : expired)
+    {
+        this->remember_signals(*entry, now);
         this->drop(*entry);
+    }
+    std::erase_if(this->dropped, [now](const auto& each)
+                  { return each.second.dropped_at + departure_memory <= now; });
     std::erase_if(this->departures, [now](const auto& each)
                   { return each.second.left_at + departure_memory <= now; });
     return this->release_held(now) || !expired.empty();
--- a/Libraries/core/process/upstream_registry.hpp
+++ b/Libraries/core/process/upstream_registry.hpp
@@ -116,6 +116,15 @@
         time_point left_at;
     };
 
+    // The state of an upstream that was dropped after it had said in a reply
+    // that it leaves or wants a pause.
+    struct dropped_upstream
+    {
+        upstream_spec spec;
+        std::shared_ptr<upstream_state> state;
+        time_point dropped_at;
+    };
+
     struct held_upstream
     {
         upstream_spec spec;
@@ -130,6 +139,11 @@
     // Adds the held upstreams whose time is over; returns whether there were
     // any.
     bool release_held(time_point now);
+    // Returns the state of the same start of the upstream, if it is known or
+    // was dropped; otherwise a new one.
+    std::shared_ptr<upstream_state> state_for(const upstream_spec& spec,
+                                              time_point now) const;
+    void remember_signals(const registered_upstream& entry, time_point now);
     void record_departure(const upstream_spec& spec, time_point now);
     void put(const std::shared_ptr<registered_upstream>& entry);
     void drop(const registered_upstream& entry);
@@ -138,6 +152,7 @@
     std::map<std::string, upstream_group, std::less<>> groups;
     std::map<std::string, departure, std::less<>> departures;
     std::map<std::string, held_upstream, std::less<>> held_back;
+    std::map<std::string, dropped_upstream, std::less<>> dropped;
 };
 
 }
--- a/Libraries/core/request/fan_out.cpp
+++ b/Libraries/core/request/fan_out.cpp
@@ -189,6 +189,9 @@
         if (auto best = this->choose_allowed(std::move(candidates), now))
             return best;
     }
+    for (const auto& each : group)
+        if (const auto end = each->state->signals().paused_until(now))
+            this->allowed_at = std::min(*end, this->allowed_at.value_or(*end));
     return nullptr;
 }
 
--- a/Libraries/core/request/fan_out.hpp
+++ b/Libraries/core/request/fan_out.hpp
@@ -167,8 +167,8 @@
     // Upstreams that were passed over because this instance's share of their
     // rate limit was used up.
     unsigned withheld_sends() const;
-    // When the first of these upstreams may be sent a request again; empty when
-    // this instance has no share of any.
+    // When the first of these upstreams, or of those that want a pause, may be
+    // sent a request again; empty when there is none.
     std::optional<time_point> next_allowed_send() const;
 
 private:
--- a/Libraries/net/forwarding_dialect.cpp
+++ b/Libraries/net/forwarding_dialect.cpp
@@ -1,5 +1,6 @@
 #include "net/forwarding_dialect.hpp"
 
+#include "core/connection/upstream_signals.hpp"
 #include "net/upstream_pool.hpp"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 {
 
 constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unavailable = 503;
 
 // Removes the next item from a comma-separated list and returns its number.
 std::optional<unsigned> take_number(std::string_view& list)
@@ -42,16 +44,28 @@
     return static_cast<double>(*running + *waiting) / *slots;
 }
 
-// Parses a decimal number of requests a second.
-std::optional<double> read_rate(std::string_view text)
+// Parses a decimal number that is finite and not negative.
+std::optional<double> read_decimal(std::string_view text)
 {
-    double rate = 0;
+    double number = 0;
     const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, rate);
-    if (parsed.ec != std::errc() || parsed.ptr != end || rate < 0 ||
-        !std::isfinite(rate))
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (parsed.ec != std::errc() || parsed.ptr != end || number < 0 ||
+        !std::isfinite(number))
         return std::nullopt;
-    return rate;
+    return number;
+}
+
+// Parses a number of seconds. Longer times than upstream_signals::max_pause are
+// shortened to it, which also keeps the result in range.
+std::optional<duration> read_seconds(std::string_view text)
+{
+    using seconds = std::chrono::duration<double>;
+    const auto number = read_decimal(text);
+    if (!number)
+        return std::nullopt;
+    return std::chrono::duration_cast<duration>(
+        std::min(seconds(*number), seconds(upstream_signals::max_pause)));
 }
 
 class forwarding_dialect : public upstream_dialect
@@ -78,6 +92,15 @@
         upstream_report report;
         if (const auto load = find_header(reply.headers, this->names.load))
             report.load = read_load(*load);
+        // Another upstream at the address says nothing of the intended one.
+        if (this->is_misdirected(reply))
+            return report;
+        report.is_leaving =
+            find_header(reply.headers, this->names.leaving) == "1";
+        if (reply.status == status_unavailable)
+            if (const auto pause =
+                    find_header(reply.headers, this->names.retry_after))
+                report.pause = read_seconds(*pause);
         return report;
     }
 
@@ -112,7 +135,7 @@
         if (const auto text =
                 find_header(reply.headers, this->names.rate_limit))
         {
-            const auto rate = read_rate(*text);
+            const auto rate = read_decimal(*text);
             return rate ? std::optional(rate_limit_statement{rate})
                         : std::nullopt;
         }
--- a/Libraries/net/forwarding_header_names.hpp
+++ b/Libraries/net/forwarding_header_names.hpp
@@ -29,6 +29,11 @@
     // Load of an upstream as "RUNNING,WAITING,SLOTS": requests being run,
     // requests waiting, and requests that can run at once.
     std::string load = "X-Load";
+    // "1" in the replies of an upstream that leaves.
+    std::string leaving = "X-Leaving";
+    // In a refusal: how long the upstream wants no requests, in seconds as a
+    // decimal number.
+    std::string retry_after = "Retry-After";
     // Requests a second that an upstream takes from all instances together, as
     // a decimal number. Absent when it has no limit.
     std::string rate_limit = "X-Rate-Limit";
--- a/Libraries/net/upstream_client.cpp
+++ b/Libraries/net/upstream_client.cpp
@@ -112,13 +112,18 @@
 {
     this->is_retired = true;
     this->close_idle();
+    this->end_waiting(error_kind::connect_failed,
+                      this->name + " left the instance list");
+}
+
+void upstream_client::end_waiting(error_kind kind, const std::string& message)
+{
     std::vector<task_ptr> waiting;
     for (const auto& [id, task] : this->tasks)
         if (!task->connection)
             waiting.push_back(task);
     for (const auto& task : waiting)
-        this->end_unsent(task, error_kind::connect_failed,
-                         this->name + " left the instance list");
+        this->end_unsent(task, kind, message);
 }
 
 void upstream_client::apply(const upstream_queue::actions& actions)
@@ -342,6 +347,7 @@
 void upstream_client::apply_report(const upstream_report& report)
 {
     auto& state = *this->address.state;
+    this->apply_signals(report);
     if (report.load)
         state.set_reported_load(*report.load);
     if (report.versions)
@@ -358,9 +364,23 @@
     this->is_draining_by_reply = *report.is_draining;
 }
 
+void upstream_client::apply_signals(const upstream_report& report)
+{
+    auto& signals = this->address.state->signals();
+    const bool has_left = report.is_leaving && signals.record_leaving(now());
+    const bool is_paused =
+        report.pause && signals.record_pause(*report.pause, now());
+    if ((has_left || is_paused) && this->values.handle_signals)
+        this->values.handle_signals(this->name, report);
+    if (is_paused)
+        this->end_waiting(error_kind::upstream_shed,
+                          this->name + " wants a pause; ask another replica");
+}
+
 bool upstream_client::is_unavailable_for(const upstream_call& call) const
 {
     return this->is_retired ||
+           !this->address.state->signals().may_send(now()) ||
            (is_work(call) &&
             (this->address.is_leaving || this->address.state->is_draining()));
 }
--- a/Libraries/net/upstream_client.hpp
+++ b/Libraries/net/upstream_client.hpp
@@ -92,9 +92,14 @@
     void record(const upstream_task& task, const upstream_exchange& exchange,
                 time_point now) const;
     void apply_report(const upstream_report& report);
+    // Records what the upstream has said of itself.
+    void apply_signals(const upstream_report& report);
     // True when the call must not be sent: the upstream has been removed from
-    // the set, or the call is work and the upstream is leaving or draining.
+    // the set, has said in a reply that it wants no requests, or the call is
+    // work and the upstream is leaving or draining.
     bool is_unavailable_for(const upstream_call& call) const;
+    // Ends the calls of which no byte was sent.
+    void end_waiting(error_kind kind, const std::string& message);
 
     void set_timer();
     void handle_timer();
--- a/Libraries/net/upstream_dialect.hpp
+++ b/Libraries/net/upstream_dialect.hpp
@@ -22,6 +22,10 @@
     std::optional<bool> is_draining;
     std::optional<double> load;
     std::optional<std::vector<index_version>> versions;
+    // The upstream says that it leaves.
+    bool is_leaving = false;
+    // The upstream wants no requests from this instance for so long.
+    std::optional<duration> pause;
 };
 
 // What a reply says about the rate of requests that its upstream takes.
--- a/Libraries/net/upstream_pool.hpp
+++ b/Libraries/net/upstream_pool.hpp
@@ -137,6 +137,11 @@
         // latency is higher.
         std::chrono::milliseconds failure_penalty{2000};
         std::shared_ptr<const upstream_dialect> dialect = make_json_dialect();
+        // Called on the upstream's worker when a reply has changed what is
+        // known of the upstream's signals. May be empty.
+        std::function<void(const std::string& upstream,
+                           const upstream_report& report)>
+            handle_signals;
     };
 
     upstream_pool(worker_pool& workers, options opts);
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -66,7 +66,7 @@
     if (!outcome.next_allowed_send)
         return make_unavailable("no upstream could take the request; retry");
     return make_unavailable(
-        "the upstreams limit the rate of requests; retry later",
+        "the upstreams take no further request now; retry later",
         std::max<duration>(*outcome.next_allowed_send - clock_now(),
                            min_retry_after));
 }
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -51,6 +51,19 @@
     return failure ? std::filesystem::file_time_type{} : time;
 }
 
+// Logs what an upstream has said of itself in a reply.
+void log_upstream_signals(const std::string& upstream,
+                          const upstream_report& report)
+{
+    using std::chrono::milliseconds;
+    const auto pause = report.pause.value_or(duration::zero());
+    const auto length = std::chrono::duration_cast<milliseconds>(pause);
+    log_event(log_level::info, "upstream_signals_changed",
+              {{"upstream", upstream},
+               {"leaving", report.is_leaving ? "true" : "false"},
+               {"pause_ms", std::to_string(length.count())}});
+}
+
 // Returns limits and time-outs for requests that are forwarded unparsed.
 upstream_pool::options
 make_pool_options(std::shared_ptr<const upstream_dialect> dialect)
@@ -62,6 +75,7 @@
     chosen.connect_timeout = std::chrono::milliseconds(300);
     chosen.failure_penalty = std::chrono::milliseconds(200);
     chosen.dialect = std::move(dialect);
+    chosen.handle_signals = log_upstream_signals;
     return chosen;
 }
 
--- a/StandIns/server/stand_in_server.cpp
+++ b/StandIns/server/stand_in_server.cpp
@@ -210,7 +210,7 @@
         constexpr unsigned status_failed = 500;
         reply_text reply{.id = id,
                          .signature = this->values.id + "." + id,
-                         .headers = this->rate_limit_header(),
+                         .headers = this->signal_headers(),
                          .body = this->values.body};
         // NOTE: GCC 12 destroys temporaries in the operand of co_await twice,
         // so the encoded reply is kept in a local variable.
@@ -224,7 +224,7 @@
         else if (this->is_refused(mode, id))
         {
             reply.status = status_refused;
-            reply.headers += "Not-Executed: 1\r\n";
+            reply.headers += "Not-Executed: 1\r\n" + this->pause_header();
             encoded.bytes = format_reply(reply);
             if (mode == server_mode::repeat_refusal)
                 connection.refusal_copy = encoded.bytes;
@@ -285,12 +285,21 @@
         return this->mode;
     }
 
-    std::string rate_limit_header() const
+    std::string signal_headers() const
     {
+        std::string headers = this->is_leaving ? "Server-Leaving: 1\r\n" : "";
         const double limit = this->rate_limit;
-        if (limit < 0)
+        if (limit >= 0)
+            headers += "Server-Limit: " + std::to_string(limit) + "\r\n";
+        return headers;
+    }
+
+    std::string pause_header() const
+    {
+        const std::lock_guard lock(this->mutex);
+        if (this->retry_after.empty())
             return "";
-        return "Server-Limit: " + std::to_string(limit) + "\r\n";
+        return "Retry-After: " + this->retry_after + "\r\n";
     }
 
     // Returns whether the server refuses to run the request.
@@ -319,6 +328,8 @@
     std::vector<std::string> header_blocks;
     std::atomic<std::chrono::milliseconds> delay{std::chrono::milliseconds(0)};
     std::atomic<double> rate_limit{-1};
+    std::atomic<bool> is_leaving{false};
+    std::string retry_after;
     std::atomic<std::size_t> abandoned_requests{0};
 };
 
@@ -355,6 +366,17 @@
     this->state->rate_limit = per_second;
 }
 
+void stand_in_server::set_leaving(bool value)
+{
+    this->state->is_leaving = value;
+}
+
+void stand_in_server::set_retry_after(const std::string& value)
+{
+    const std::lock_guard lock(this->state->mutex);
+    this->state->retry_after = value;
+}
+
 std::vector<std::string> stand_in_server::runs() const
 {
     const std::lock_guard lock(this->state->mutex);
--- a/StandIns/server/stand_in_server.hpp
+++ b/StandIns/server/stand_in_server.hpp
@@ -82,6 +82,11 @@
     // for none. The limit is not enforced.
     void set_rate_limit(double per_second);
 
+    // Sets whether all replies state that the server leaves.
+    void set_leaving(bool value);
+    // Sets the value of Retry-After in refusals; empty for none.
+    void set_retry_after(const std::string& value);
+
     // Ids of the requests that were run, in order of execution.
     std::vector<std::string> runs() const;
     // Request lines and headers of all requests received, in order of arrival.
--- a/Tests/gateway/forwarder.cpp
+++ b/Tests/gateway/forwarder.cpp
@@ -243,6 +243,102 @@
     CHECK(this->ask("GET", "/p/x").result_int() == 503);
 }
 
+// Guards against requests to a server that has said in a reply that it leaves,
+// whatever the directory says of it (rule DRAIN), and against one that is not
+// used after it has started again.
+TEST_CASE_FIXTURE(gateway_fixture, "a server that says that it leaves")
+{
+    auto& leaving = this->add_server("plain", "i-1");
+    auto& other = this->add_server("plain", "i-2");
+    this->put_config(1, 0);
+    this->wait_for(2, 1);
+    const auto put_entry = [&](unsigned sequence, const std::string& born)
+    {
+        this->store.put("servers/i-1",
+                        R"({"service":"plain","address":")" +
+                            format_endpoint(leaving.endpoint()) +
+                            R"(","zone":"z","capacity":2,"state":"ready",)"
+                            R"("sequence":)" +
+                            std::to_string(sequence) + R"(,"born":)" + born +
+                            "}");
+    };
+    leaving.set_leaving(true);
+    REQUIRE(wait_until(
+        [&]
+        {
+            this->ask("GET", "/p/x");
+            return !leaving.runs().empty();
+        }));
+    const auto before = leaving.arrivals().size();
+    for (unsigned request = 0; request < 20; ++request)
+        CHECK(this->ask("POST", "/once/x").result_int() == 200);
+    CHECK(leaving.arrivals().size() == before);
+    std::this_thread::sleep_for(upstream_signals::leaving_grace);
+    other.set_mode(server_mode::refuse);
+    const std::string born = "1700000000000";
+    for (unsigned round = 1; round <= 3; ++round)
+    {
+        // The directory lists it as ready, and drops and lists it again.
+        if (round == 3)
+        {
+            this->store.remove("servers/i-1");
+            this->wait_for(1, round - 1);
+            std::this_thread::sleep_for(upstream_registry::leaving_grace);
+        }
+        put_entry(1 + round, born);
+        this->put_config(round, 0);
+        this->wait_for(2, round);
+        for (unsigned request = 0; request < 5; ++request)
+            CHECK(this->ask("POST", "/once/x").result_int() == 503);
+    }
+    CHECK(leaving.arrivals().size() == before);
+    put_entry(1, "1700000009999");
+    leaving.set_leaving(false);
+    CHECK(wait_until([&]
+                     { return this->ask("GET", "/p/x").result_int() == 200; }));
+}
+
+// Guards against requests to a server that has refused one and wants a pause
+// (rule BUDGET), against refusals without the time at which there is room, and
+// against a server that is not used after its pause.
+TEST_CASE_FIXTURE(gateway_fixture, "a server that wants a pause")
+{
+    struct scenario
+    {
+        const char* retry_after;
+        std::size_t arrivals;
+    };
+    auto& server = this->add_server("plain", "i-1");
+    unsigned version = 1;
+    this->put_config(version, 0);
+    this->wait_for(1, version);
+    // A request is offered four times when the server wants no pause.
+    for (const auto& [retry_after, arrivals] :
+         {scenario{"1.5", 1}, scenario{"2", 1}, scenario{"", 12},
+          scenario{"-1", 12}, scenario{"1e999", 12}, scenario{"nan", 12},
+          scenario{"Sat, 05 Dec 2026 05:00:00 GMT", 12}, scenario{"0", 12}})
+    {
+        CAPTURE(retry_after);
+        server.set_retry_after(retry_after);
+        server.set_mode(server_mode::refuse);
+        const auto before = server.arrivals().size();
+        for (unsigned request = 0; request < 3; ++request)
+        {
+            const auto reply = this->ask("POST", "/once/x");
+            CHECK(reply.result_int() == 503);
+            const auto wait = std::stod(std::string(reply["Retry-After"]));
+            CHECK((wait > 0.2) == (arrivals == 1));
+            CHECK(wait <= 2);
+            if (request == 0)
+                this->put_config(++version, 0);
+        }
+        CHECK(server.arrivals().size() - before == arrivals);
+        server.set_mode(server_mode::normal);
+        CHECK(wait_until(
+            [&] { return this->ask("GET", "/p/x").result_int() == 200; }));
+    }
+}
+
 // Guards against an upstream that gets more requests than the limit that its
 // replies state (rule LIMIT), against requests that are not sent to another
 // upstream instead, and against a refusal without a time to come back.
