net: Read the limits when a request begins

The session read the limits before it waited for the request. It reads them after the wait now. The new test raises and lowers the limit while its connection is idle; it failed before.

--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -75,14 +75,15 @@
 
 asio::awaitable<bool> http_session::serve_request()
 {
-    parser message;
+    auto failure = co_await this->wait_for_request();
+    // The limits may have changed while the connection was idle.
     const auto current_limits = this->limits();
+    parser message;
     message.header_limit(
         static_cast<std::uint32_t>(current_limits.max_header_bytes));
     message.body_limit(current_limits.max_body_bytes);
     // The parser needs the whole head at once, too.
     this->buffer.max_size(max_unparsed_bytes + current_limits.max_header_bytes);
-    auto failure = co_await this->wait_for_request();
     // Counted from the first byte on, so that a shutdown also waits for a
     // request that has been read in part.
     const running_request running(this->context->running_requests);
--- a/Tests/net/http_server.cpp
+++ b/Tests/net/http_server.cpp
@@ -296,3 +296,41 @@
     CHECK(idle.read().result_int() == 200);
     workers.stop();
 }
+
+// Guards against a request that is refused by limits from before its connection
+// was idle: a version had raised them (seen by the review).
+TEST_CASE("limits that change while a connection is idle hold for it")
+{
+    std::atomic<std::size_t> max_body_bytes{10};
+    worker_pool workers{1};
+    http_server server(
+        workers,
+        {.listen = any_loopback_port(),
+         .limits = [&]
+         { return http_limits{.max_body_bytes = max_body_bytes}; }},
+        [](http_request request) -> asio::awaitable<http_reply>
+        {
+            http_reply reply;
+            reply.body = std::to_string(request.body.size());
+            co_return reply;
+        });
+    REQUIRE(server.start());
+    workers.start();
+    raw_client client(server.endpoint());
+    const auto post = [&client](std::size_t bytes)
+    {
+        client.send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: " +
+                    std::to_string(bytes) + "\r\n\r\n" +
+                    std::string(bytes, 'x'));
+        return client.read();
+    };
+    CHECK(post(10).result_int() == 200);
+    // The server waits for the next request before the limit changes.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    max_body_bytes = 1000;
+    CHECK(post(500).body() == "500");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    max_body_bytes = 10;
+    CHECK(post(500).result_int() == 413);
+    workers.stop();
+}
