Tests: Share the upstream that answers with arbitrary bytes

endless_reply and cut_reply each had an accept loop of the same shape; it moves to raw_upstream. The two tests of a caller that closes its connection become one, which also resets it and requires for each way of closing that no answer arrives. No check is lost.

--- a/Tests/gateway/forwarder.cpp
+++ b/Tests/gateway/forwarder.cpp
@@ -201,34 +201,28 @@
 }
 
 // Guards against servers that go on working after the caller has closed its
-// connection.
+// connection, and against an empty 200 for one that has closed its sending side
+// only, which looks the same (rules GONE and MIXED).
 TEST_CASE_FIXTURE(gateway_fixture, "a caller's close cancels its request")
 {
     auto& server = this->add_server("plain", "i-1");
     server.set_mode(server_mode::silent);
     this->put_config(1, 0);
     this->wait_for(1, 1);
-    raw_client caller(this->caller_server->endpoint());
-    caller.send(this->make_request("GET", "/p/x", 60000));
-    REQUIRE(wait_until([&] { return server.runs().size() == 1; }));
-    caller.close();
-    CHECK(wait_until([&] { return server.abandoned() == 1; }));
-}
-
-// Guards against an empty 200 for a caller that closes its sending side only,
-// which cancels its request as a full close does (rule MIXED).
-TEST_CASE_FIXTURE(gateway_fixture, "a cancelled request is not answered")
-{
-    auto& server = this->add_server("plain", "i-1");
-    server.set_mode(server_mode::silent);
-    this->put_config(1, 0);
-    this->wait_for(1, 1);
-    raw_client caller(this->caller_server->endpoint());
-    caller.send(this->make_request("GET", "/p/x", 60000));
-    REQUIRE(wait_until([&] { return server.runs().size() == 1; }));
-    caller.half_close();
-    CHECK(caller.read().result_int() == 0);
-    CHECK(wait_until([&] { return server.abandoned() == 1; }));
+    std::size_t cancelled = 0;
+    for (const auto close :
+         {&raw_client::close, &raw_client::reset, &raw_client::half_close})
+    {
+        raw_client caller(this->caller_server->endpoint());
+        caller.send(this->make_request("GET", "/p/x", 60000));
+        REQUIRE(
+            wait_until([&] { return server.runs().size() == cancelled + 1; }));
+        (caller.*close)();
+        CHECK(wait_until([&] { return server.abandoned() == cancelled + 1; }));
+        // Only the caller that closed its sending side could get an answer.
+        CHECK(caller.read().result_int() == 0);
+        ++cancelled;
+    }
 }
 
 // Guards against 404 for a route that a newer version may hold, and against an
--- a/Tests/net/cut_reply.cpp
+++ b/Tests/net/cut_reply.cpp
@@ -1,10 +1,9 @@
-#include "net/loopback.hpp"
 #include "net/pool_fixture.hpp"
+#include "net/raw_upstream.hpp"
 
-#include <boost/asio/buffer.hpp>
 #include <doctest/doctest.h>
+#include <mutex>
 #include <string>
-#include <thread>
 
 using namespace wisteriahatch;
 
@@ -24,22 +23,13 @@
 {
 public:
     cutting_upstream()
-        : acceptor(this->context, any_loopback_port())
+        : server([this](tcp::socket& socket) { this->answer(socket); })
     {
-        this->thread = std::jthread([this] { this->serve(); });
-    }
-
-    ~cutting_upstream()
-    {
-        error_code ignored;
-        this->is_stopping = true;
-        tcp::socket last(this->context);
-        last.connect(this->endpoint(), ignored);
     }
 
     tcp::endpoint endpoint() const
     {
-        return this->acceptor.local_endpoint();
+        return this->server.endpoint();
     }
 
     // Must not be called while a request is running.
@@ -51,33 +41,21 @@
     }
 
 private:
-    void serve()
+    void answer(tcp::socket& socket)
     {
-        for (;;)
-        {
-            tcp::socket socket(this->context);
-            error_code failure;
-            this->acceptor.accept(socket, failure);
-            if (this->is_stopping || failure)
-                return;
-            std::string request(4096, '\0');
-            socket.read_some(asio::buffer(request), failure);
-            const std::scoped_lock guard(this->lock);
-            asio::write(socket, asio::buffer(this->reply), failure);
-            if (this->end == connection_end::reset)
-                socket.set_option(asio::socket_base::linger(true, 0), failure);
-            // The destructor would ignore the linger option.
-            socket.close(failure);
-        }
+        error_code failure;
+        const std::scoped_lock guard(this->lock);
+        asio::write(socket, asio::buffer(this->reply), failure);
+        if (this->end == connection_end::reset)
+            socket.set_option(asio::socket_base::linger(true, 0), failure);
+        // The destructor would ignore the linger option.
+        socket.close(failure);
     }
 
     std::mutex lock;
     std::string reply;
     connection_end end = connection_end::closed;
-    asio::io_context context;
-    tcp::acceptor acceptor;
-    std::atomic<bool> is_stopping{false};
-    std::jthread thread;
+    raw_upstream server;
 };
 
 }
--- a/Tests/net/endless_reply.cpp
+++ b/Tests/net/endless_reply.cpp
@@ -1,11 +1,10 @@
-#include "net/loopback.hpp"
 #include "net/pool_fixture.hpp"
+#include "net/raw_upstream.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <deque>
 #include <doctest/doctest.h>
 #include <string>
-#include <thread>
 
 using namespace wisteriahatch;
 using namespace std::chrono_literals;
@@ -27,29 +26,20 @@
 public:
     endless_upstream(std::string reply_prefix, const std::string& pattern)
         : prefix(std::move(reply_prefix))
-        , acceptor(this->context, any_loopback_port())
+        , server([this](tcp::socket& socket) { this->answer(socket); })
     {
         while (this->block.size() < 65536)
             this->block += pattern;
-        this->thread = std::jthread([this] { this->serve(); });
-    }
-
-    ~endless_upstream()
-    {
-        error_code ignored;
-        this->is_stopping = true;
-        tcp::socket last(this->context);
-        last.connect(this->endpoint(), ignored);
     }
 
     tcp::endpoint endpoint() const
     {
-        return this->acceptor.local_endpoint();
+        return this->server.endpoint();
     }
 
     unsigned connections() const
     {
-        return this->connection_count;
+        return this->server.connections();
     }
 
     std::size_t largest_reply() const
@@ -58,34 +48,20 @@
     }
 
 private:
-    void serve()
+    void answer(tcp::socket& socket)
     {
-        for (;;)
-        {
-            tcp::socket socket(this->context);
-            error_code failure;
-            this->acceptor.accept(socket, failure);
-            if (this->is_stopping || failure)
-                return;
-            ++this->connection_count;
-            std::string request(4096, '\0');
-            socket.read_some(asio::buffer(request), failure);
-            std::size_t sent =
-                asio::write(socket, asio::buffer(this->prefix), failure);
-            while (!failure && sent < max_sent_bytes)
-                sent += asio::write(socket, asio::buffer(this->block), failure);
-            this->largest = std::max(this->largest.load(), sent);
-        }
+        error_code failure;
+        std::size_t sent =
+            asio::write(socket, asio::buffer(this->prefix), failure);
+        while (!failure && sent < max_sent_bytes)
+            sent += asio::write(socket, asio::buffer(this->block), failure);
+        this->largest = std::max(this->largest.load(), sent);
     }
 
     std::string prefix;
     std::string block;
-    asio::io_context context;
-    tcp::acceptor acceptor;
-    std::atomic<bool> is_stopping{false};
-    std::atomic<unsigned> connection_count{0};
     std::atomic<std::size_t> largest{0};
-    std::jthread thread;
+    raw_upstream server;
 };
 
 }
