gateway: Take no lost history for a confirmation of what is known

An answer that the history is gone says nothing of the state that an instance knows, but it counted as contact with the store: until the list was read again the instance told others that what it knew was current, and the grace period of upstreams that left in the gap began at that answer.

--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -177,7 +177,6 @@
         {
             retry = min_retry_delay;
             this->answered_at = clock_now();
-            this->record_contact(this->answered_at);
             // A call that was answered late is followed by the next one at
             // once: there may be changes since it was answered.
             if (std::exchange(this->has_new_changes, false))
@@ -212,6 +211,7 @@
                {"revision", std::to_string(this->known.revision)},
                {"upstreams", std::to_string(snapshot.value().upstreams.size())},
                {"held", std::to_string(this->config.state->upstreams.held())}});
+    this->record_contact(clock_now());
     this->arm_expiry();
     co_return true;
 }
@@ -234,6 +234,7 @@
         co_return true;
     }
     this->apply_changes(changes.value(), "watch");
+    this->record_contact(clock_now());
     co_return true;
 }
 
--- a/Tests/gateway/source_watcher.cpp
+++ b/Tests/gateway/source_watcher.cpp
@@ -518,6 +518,69 @@
 
 }
 
+namespace
+{
+
+// A source that can be read once, and whose history is lost after that.
+class source_without_history : public configuration_source
+{
+public:
+    boost::asio::awaitable<result<routing_snapshot>> read() override
+    {
+        if (this->reads++ > 0)
+            co_return error{error_kind::upstream_shed, "busy"};
+        routing_snapshot snapshot;
+        snapshot.position = {.epoch = 1, .revision = 5};
+        co_return snapshot;
+    }
+
+    boost::asio::awaitable<result<routing_changes>>
+    watch(std::uint64_t, std::chrono::milliseconds) override
+    {
+        // What is known was confirmed long ago.
+        this->watcher->handle_pause(10s);
+        routing_changes changes;
+        changes.is_history_lost = true;
+        co_return changes;
+    }
+
+    source_watcher* watcher = nullptr;
+    std::atomic<unsigned> reads{0};
+};
+
+}
+
+// Guards against an instance that takes an answer without the changes for a
+// confirmation of what it knows: it would tell others that this is current, and
+// count the grace period of upstreams that left in the gap from too late.
+TEST_CASE_FIXTURE(gateway_fixture, "a lost history confirms nothing")
+{
+    gateway_state own_state{.routes = nullptr,
+                            .upstreams = {},
+                            .budgets = retry_budgets({}),
+                            .rate_limits = {},
+                            .split = {},
+                            .random = std::mt19937_64(1)};
+    source_without_history source;
+    source_watcher asker({.worker = &this->workers.at(0),
+                          .source = &source,
+                          .state = &own_state,
+                          .upstreams = &*this->pool});
+    source.watcher = &asker;
+    this->on_worker(
+        [&]
+        {
+            asker.start();
+            return 0;
+        });
+    REQUIRE(wait_until([&] { return source.reads >= 2; }));
+    CHECK(this->on_worker(
+              [&] {
+                  return asker.changes_since(asker.position()).source_age;
+              }) >= 10s);
+    this->workers.stop();
+}
+
 // Guards against an instance that asks a reader in a later epoch, hears of no
 // change and keeps servers that have left (rule DRAIN, two of nine instances on
 // day restored-cuts), and against one that reads the store itself each time.
