--- a/review/tools-2/common.hpp
+++ b/review/tools-2/common.hpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdarg>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
