--- a/review/tools-2/attempt_limit.cpp
+++ b/review/tools-2/attempt_limit.cpp
@@ -25,11 +25,17 @@
 
 constexpr int client_count = 240;
 constexpr double requests_per_second = 2000;
-constexpr std::chrono::seconds length(60);
+// Trouble comes in spells as long as the site file's longest, with sound
+// servers between them.
+constexpr int spells = 6;
+constexpr std::chrono::seconds spell(9);
+constexpr std::chrono::seconds between(2);
+constexpr auto length = spells * (spell + between);
 
 // The servers that ran each request.
 struct ledger
 {
+    time_point load_start{};
     std::mutex mutex;
     std::mt19937_64 random{7};
     std::map<std::string, std::vector<std::string>> runs;
@@ -50,9 +56,15 @@
            static_cast<std::size_t>(failed_part * steps);
 }
 
-std::string serve(ledger& seen, const server& self, bool is_troubled,
+bool is_in_spell(const ledger& seen)
+{
+    return (steady::now() - seen.load_start) % (spell + between) < spell;
+}
+
+std::string serve(ledger& seen, const server& self, bool may_be_troubled,
                   const message& request)
 {
+    const bool is_troubled = may_be_troubled && is_in_spell(seen);
     const auto id = request.field("Request-Id");
     {
         const std::lock_guard lock(seen.mutex);
@@ -124,10 +136,11 @@
     // Retries are held back in the first seconds of a gateway.
     pause(milliseconds(12000));
 
+    seen.load_start = steady::now();
     std::vector<std::thread> clients;
     for (int number = 0; number < client_count; ++number)
         clients.emplace_back(send_requests, std::ref(seen), gateway, number,
-                             steady::now() + length);
+                             seen.load_start + length);
     for (auto& each : clients)
         each.join();
 
