net: Limit what the kernel holds for callers

Seen: 1,000 callers that send bytes behind a request which is being served, or that read no replies, take far more of the machine's memory than the account of callers knows: the kernel counts toward the machine, and each connection had 64 KiB in each direction, doubled by the kernel.

Cause: socket buffers had one size for every connection and were in no account; 4,096 further connections could wait to be accepted.

Change: a connection gets 8 KiB in each direction, with the kernel's overhead. One that carries a message of more than that gets 64 KiB, which count toward the account, while the account is at most half full. The backlog is half of the connections that may be open. Both bounds hold whatever callers send, so that nothing has to be measured while requests are served.

--- a/Libraries/core/connection/caller_memory.cpp
+++ b/Libraries/core/connection/caller_memory.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t peer_descriptor_divisor = 8;
 constexpr std::size_t probe_descriptor_divisor = 16;
 
+// Part of the memory up to which connections are extended.
+constexpr std::size_t extension_divisor = 2;
+
 constexpr std::chrono::milliseconds progress_window{250};
 constexpr std::chrono::seconds report_interval{1};
 
@@ -137,6 +140,19 @@
     this->memory->resize(*this, 0);
 }
 
+bool caller_memory::reservation::extend(std::size_t bytes)
+{
+    const std::lock_guard lock(this->memory->mutex);
+    const auto limit = this->memory->values.max_bytes / extension_divisor;
+    auto& held = this->memory->totals.held_bytes;
+    if (this->dropped != drop_cause::none || held + bytes > limit)
+        return false;
+    this->fixed_size += bytes;
+    this->size += bytes;
+    held += bytes;
+    return true;
+}
+
 caller_memory::drop_cause caller_memory::reservation::cause() const
 {
     return this->dropped;
@@ -206,7 +222,7 @@
     // What a dropped connection still holds is about to be freed.
     if (changed.dropped != drop_cause::none)
         return;
-    const auto size = bytes + connection_bytes;
+    const auto size = bytes + changed.fixed_size;
     this->totals.held_bytes += size - changed.size;
     changed.size = size;
 }
--- a/Libraries/core/connection/caller_memory.hpp
+++ b/Libraries/core/connection/caller_memory.hpp
@@ -39,6 +39,14 @@
     // Bytes that an open connection takes besides its requests and replies:
     // measured 6 KB of resident memory for an idle connection.
     static constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
+    // What the kernel may hold for a connection in each direction, with its own
+    // overhead. Not part of held_bytes, because it is rarely in use; the budget
+    // leaves room for it on every connection.
+    static constexpr std::size_t socket_buffer_bytes = std::size_t{8} * 1024;
+    // The same for a connection that carries large messages, which is part of
+    // held_bytes.
+    static constexpr std::size_t large_socket_buffer_bytes =
+        std::size_t{64} * 1024;
 
     struct counts
     {
@@ -98,6 +106,10 @@
         void end_request(std::size_t bytes);
         // The connection only waits for its peer to close it.
         void begin_close(time_point now);
+        // Adds `bytes` to what the open connection takes, until it is closed.
+        // Returns false, and adds nothing, unless the memory is at most half
+        // full afterwards.
+        bool extend(std::size_t bytes);
         // Any other cause than `none` means that the connection must be closed.
         drop_cause cause() const;
 
@@ -124,6 +136,8 @@
         const void* server;
         std::function<void()> handle_drop;
         phase current_phase = phase::unused;
+        // Part of the size that does not depend on the phase.
+        std::size_t fixed_size = connection_bytes;
         std::size_t size = connection_bytes;
         time_point phase_start;
         time_point window_start;
--- a/Libraries/net/http_server.cpp
+++ b/Libraries/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include "net/beast.hpp"
 #include "net/http_client.hpp"
 #include "net/http_session.hpp"
+#include "net/socket_buffers.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -21,7 +22,8 @@
 
 // Time before accepting again after a failure such as too many open files.
 constexpr std::chrono::milliseconds accept_retry_delay{10};
-constexpr int listen_backlog = 4096;
+constexpr std::size_t max_listen_backlog = 4096;
+constexpr std::size_t min_listen_backlog = 64;
 // Time that a connection beyond the limit waits for another one to close. When
 // a peer replaces a connection, its new one may be accepted before the close of
 // its old one has been read.
@@ -72,7 +74,7 @@
         if (!failure)
             listener->bind(listen_endpoint, failure);
         if (!failure)
-            listener->listen(listen_backlog, failure);
+            listener->listen(this->backlog(), failure);
         if (!failure)
             listener->non_blocking(true, failure);
         if (failure)
@@ -153,19 +155,24 @@
         return worker;
     }
 
+    // Connections that wait to be accepted. They hold received bytes, too,
+    // while the process is stopped, so that they are limited like open ones.
+    int backlog() const
+    {
+        const auto limit = this->context->values.max_connections;
+        if (limit == 0)
+            return static_cast<int>(max_listen_backlog);
+        return static_cast<int>(
+            std::clamp(limit / 2, min_listen_backlog, max_listen_backlog));
+    }
+
     // Accepted sockets inherit the sizes, which must be set before the
     // connection is established to take effect on its window.
     void limit_buffers(tcp::acceptor& listener, error_code& failure) const
     {
-        const auto bytes =
-            static_cast<int>(this->context->values.socket_buffer_bytes);
-        if (bytes == 0)
-            return;
-        listener.set_option(asio::socket_base::receive_buffer_size(bytes),
-                            failure);
-        if (!failure)
-            listener.set_option(asio::socket_base::send_buffer_size(bytes),
-                                failure);
+        const auto bytes = this->context->values.socket_buffer_bytes;
+        if (bytes > 0)
+            set_socket_buffers(listener, bytes, failure);
     }
 
     // Serves the connection on the worker that its socket belongs to. Runs on
--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -107,8 +107,9 @@
         // of the one that has made the least progress with an unfinished
         // request, if there is one. Without an account, memory is not limited.
         std::shared_ptr<caller_memory> memory;
-        // Bytes that the kernel may hold for a connection in each direction; 0
-        // leaves the choice to the kernel.
+        // Bytes that the kernel may hold for a connection in each direction,
+        // with its own overhead; 0 leaves the choice to the kernel. A
+        // connection gets more for a large message while the account has room.
         std::size_t socket_buffer_bytes = 0;
         // Called for each request, for limits that change while the server
         // runs. Overrides max_body_bytes and idle_timeout. May be empty.
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -1,6 +1,7 @@
 #include "net/http_session.hpp"
 
 #include "net/round_trip.hpp"
+#include "net/socket_buffers.hpp"
 
 #include <array>
 #include <boost/asio/post.hpp>
@@ -191,6 +192,19 @@
            message.get().body().capacity();
 }
 
+void http_session::extend_socket_buffers(std::size_t message_bytes)
+{
+    constexpr auto large = caller_memory::large_socket_buffer_bytes;
+    constexpr std::size_t directions = 2;
+    const auto usual = this->context->values.socket_buffer_bytes;
+    if (this->has_large_socket_buffers || usual == 0 ||
+        message_bytes <= usual || !this->memory->extend(directions * large))
+        return;
+    this->has_large_socket_buffers = true;
+    error_code ignored;
+    set_socket_buffers(this->stream.socket(), large, ignored);
+}
+
 void http_session::shrink_buffer()
 {
     if (this->buffer.size() == 0 &&
@@ -280,10 +294,12 @@
         http::response<http::empty_body> proceed(http::status::continue_, 11);
         co_await http::async_write(this->stream, proceed, store_error(failure));
     }
+    this->extend_socket_buffers(message.content_length().value_or(0));
     while (!failure && !message.is_done())
     {
         this->stream.expires_after(this->limits().idle_timeout);
         failure = co_await this->read_some(message);
+        this->extend_socket_buffers(message.get().body().size());
     }
     this->stream.expires_never();
     co_return failure;
@@ -363,6 +379,7 @@
         message.content_length(*reply.announced_length);
     error_code failure;
     this->stream.expires_after(this->limits().idle_timeout);
+    this->extend_socket_buffers(message.body().size());
     this->memory->begin_reply(this->buffer.capacity() +
                                   message.body().capacity(),
                               std::chrono::steady_clock::now());
--- a/Libraries/net/http_session.hpp
+++ b/Libraries/net/http_session.hpp
@@ -61,6 +61,9 @@
     void handle_drop();
     // Bytes of the buffers and of the request that is being read.
     std::size_t held_bytes(parser& message) const;
+    // Gives the connection larger socket buffers if the message does not fit
+    // into those that it has and the account has room.
+    void extend_socket_buffers(std::size_t message_bytes);
     // Frees the buffer unless it holds bytes of a further request.
     void shrink_buffer();
     // Waits for the first bytes of a request.
@@ -92,6 +95,7 @@
     // request is ignored.
     std::uint64_t request_phase = 0;
     bool is_idle = false;
+    bool has_large_socket_buffers = false;
     // The running request is a HEAD, whose reply has no body.
     bool is_head = false;
     // The last reply could not be written whole.
--- a/Programs/entry/entry_process.cpp
+++ b/Programs/entry/entry_process.cpp
@@ -33,9 +33,6 @@
 // listening socket was closed, so that a first request that is already on its
 // way is still answered.
 constexpr std::chrono::milliseconds first_request_grace{500};
-// The kernel doubles it, to the size that receive buffers have by default
-// before they grow.
-constexpr std::size_t socket_buffer_bytes = std::size_t{64} * 1024;
 constexpr unsigned status_not_found = 404;
 
 incarnation random_incarnation()
@@ -128,7 +125,7 @@
     return {.listen = listen,
             .max_connections = max_connections,
             .memory = this->memory,
-            .socket_buffer_bytes = socket_buffer_bytes};
+            .socket_buffer_bytes = caller_memory::socket_buffer_bytes};
 }
 
 asio::awaitable<http_reply> entry_process::handle_admin(http_request request)
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -45,9 +45,6 @@
 // Part of the drain bound in which the news that an upstream leaves reaches
 // this instance: a poll of the directory, a lost reader and a slow call.
 constexpr std::chrono::milliseconds drain_news_time{1000};
-// The kernel doubles it, to the size that receive buffers have by default
-// before they grow: requests of up to 64 KiB are received as without the limit.
-constexpr std::size_t socket_buffer_bytes = std::size_t{64} * 1024;
 
 constexpr unsigned status_unavailable = 503;
 
@@ -259,7 +256,7 @@
     return {.listen = listen,
             .max_connections = max_connections,
             .memory = this->memory,
-            .socket_buffer_bytes = socket_buffer_bytes};
+            .socket_buffer_bytes = caller_memory::socket_buffer_bytes};
 }
 
 http_server::options gateway_process::make_caller_options()
--- a/Tests/core/connection/caller_memory.cpp
+++ b/Tests/core/connection/caller_memory.cpp
@@ -180,6 +180,40 @@
     }
 }
 
+// Guards against buffers for large messages that a crowd takes for itself until
+// nothing is left for requests, and that are not counted.
+TEST_CASE("a connection is extended while the memory is at most half full")
+{
+    struct scenario
+    {
+        const char* what;
+        member other;
+        std::size_t bytes;
+        bool is_extended;
+    };
+    const member half{stage::reading, 500'000};
+    for (const auto& each : std::vector<scenario>{
+             {"with room", {stage::reading, 10'000}, 400'000, true},
+             {"beyond the half", half, 40'000, false},
+             {"up to the half", half, 1'000, true}})
+    {
+        CAPTURE(each.what);
+        account tested(1'040'000);
+        tested.add(each.other);
+        tested.add({stage::idle, 0});
+        auto& connection = tested.connections.back();
+        const auto before = tested.memory.current().held_bytes;
+        const auto added = each.is_extended ? each.bytes : 0;
+        CHECK(connection.extend(each.bytes) == each.is_extended);
+        CHECK(tested.memory.current().held_bytes == before + added);
+        connection.end_request(0);
+        CHECK(tested.memory.current().held_bytes == before + added);
+        tested.connections.pop_back();
+        CHECK(tested.memory.current().held_bytes ==
+              before - caller_memory::connection_bytes);
+    }
+}
+
 // Guards against an account that leaks or becomes negative: connections open,
 // read, are served, dropped and closed in any order.
 TEST_CASE("the account equals what its connections hold")
@@ -188,6 +222,7 @@
     {
         std::unique_ptr<caller_memory::reservation> connection;
         std::size_t bytes = 0;
+        std::size_t extension = 0;
         // Serving or idle.
         bool is_complete = false;
     };
@@ -208,7 +243,7 @@
                             memory, nullptr, [] {}, now)});
                 auto& chosen = open[random.below(open.size())];
                 auto& connection = *chosen.connection;
-                const auto action = random.below(7);
+                const auto action = random.below(8);
                 const std::size_t size = random.below(100'000);
                 if (action < 5)
                 {
@@ -227,6 +262,8 @@
                     connection.end_request(size);
                 else if (action == 5)
                     memory.displace_connection(nullptr, now);
+                else if (action == 6)
+                    chosen.extension += connection.extend(size) ? size : 0;
                 else
                 {
                     std::swap(chosen, open.back());
@@ -238,7 +275,7 @@
                 {
                     if (each.connection->cause() != drop_cause::none)
                         continue;
-                    expected += overhead + each.bytes;
+                    expected += overhead + each.extension + each.bytes;
                     has_complete |= each.is_complete;
                 }
                 const auto total = memory.current().held_bytes;
--- a/Tests/process/run.sh
+++ b/Tests/process/run.sh
@@ -10,6 +10,7 @@
 . Tests/process/malformed_input.sh
 . Tests/process/gateway.sh
 . Tests/process/caller_memory.sh
+. Tests/process/caller_crowds.sh
 trap fleet_stop EXIT
 
 document=Examples/blue_mahoe.ini
@@ -191,7 +192,8 @@
     gateway_leaving_signal gateway_pause_signal gateway_both_signals
     gateway_stop gateway_late_requests gateway_peers gateway_partitioned_reader gateway_evacuation
     gateway_evacuation_mixed gateway_malformed gateway_cold_servers
-    gateway_caller_memory entry_caller_memory)
+    gateway_caller_memory entry_caller_memory
+    gateway_crowd_unread gateway_crowd_stop entry_crowds)
 # Cases with an entry "test: NAME" in KNOWN-RED.txt run only when named.
 if [ "$#" -eq 0 ]; then
     for name in "${all_cases[@]}"; do
