net: Notice that a caller has left behind further bytes

Seen: work for a caller goes on until its deadline when the caller has sent bytes of a further request and then leaves. Upstreams work for nobody, and 1,000 such callers keep the connections to an upstream busy.

Cause: the session waits once for its socket to become readable. Bytes of a further request make it readable, and nothing looks at the socket again until the handler has returned.

Change: when further bytes have arrived, the session looks every 200 ms whether the peer has closed its side (poll with POLLRDHUP). A caller that sends nothing further costs nothing more.

Test: "disconnected peers are detected" in Tests/net/http_server.cpp, three further rows, all three failed before (not noticed within 20 s) and pass now.

--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <exception>
+#include <poll.h>
 #include <string>
 #include <utility>
 
@@ -20,6 +21,9 @@
 constexpr std::size_t max_discarded_bytes = std::size_t{4} * 1024 * 1024;
 constexpr std::chrono::seconds max_discard_time{2};
 constexpr std::size_t discard_buffer_bytes = 16384;
+// Time between two checks whether the peer of a running request has left, once
+// further bytes of it have arrived.
+constexpr std::chrono::milliseconds peer_check_interval{200};
 // Upper bound of the first read of a request.
 constexpr std::size_t first_read_bytes = 2048;
 // Upper bound of each further read.
@@ -60,6 +64,7 @@
 http_session::http_session(tcp::socket socket,
                            std::shared_ptr<http_session_context> shared)
     : stream(std::move(socket))
+    , peer_timer(this->stream.get_executor())
     , context(std::move(shared))
 {
     error_code ignored;
@@ -160,9 +165,12 @@
     request.is_peer_gone = std::make_shared<bool>(false);
     request.on_peer_gone = std::make_shared<std::function<void()>>();
     ++this->request_phase;
-    this->watch_peer(request);
+    this->watch_peer({.phase = this->request_phase,
+                      .is_peer_gone = request.is_peer_gone,
+                      .on_peer_gone = request.on_peer_gone});
     auto reply = co_await this->run_handler(std::move(request));
     ++this->request_phase;
+    this->peer_timer.cancel();
     error_code ignored;
     this->stream.socket().cancel(ignored);
     if (reply.is_withheld)
@@ -404,28 +412,51 @@
     }
 }
 
-void http_session::watch_peer(const http_request& request)
+void http_session::watch_peer(const peer_watch& watch)
 {
-    auto report = [self = this->weak_from_this(), phase = this->request_phase,
-                   is_peer_gone = request.is_peer_gone,
-                   on_peer_gone = request.on_peer_gone](error_code failure)
+    this->stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = this->weak_from_this(), watch](error_code failure)
+        {
+            const auto session = self.lock();
+            if (session && failure != asio::error::operation_aborted)
+                session->check_peer(watch);
+        });
+}
+
+void http_session::check_peer(const peer_watch& watch)
+{
+    if (this->request_phase != watch.phase)
+        return;
+    if (this->has_peer_left())
     {
-        const auto session = self.lock();
-        if (!session || session->request_phase != phase ||
-            failure == asio::error::operation_aborted)
-            return;
-        // The socket is readable because of a further request or because the
-        // peer closed or reset the connection.
-        char first = 0;
-        session->stream.socket().receive(asio::buffer(&first, 1),
-                                         tcp::socket::message_peek, failure);
-        if (!failure || failure == asio::error::would_block)
-            return;
-        *is_peer_gone = true;
-        if (*on_peer_gone)
-            std::exchange(*on_peer_gone, nullptr)();
-    };
-    this->stream.socket().async_wait(tcp::socket::wait_read, std::move(report));
+        *watch.is_peer_gone = true;
+        if (*watch.on_peer_gone)
+            std::exchange(*watch.on_peer_gone, nullptr)();
+        return;
+    }
+    // Bytes of a further request have arrived. The socket stays readable until
+    // they are read, so that a wait for further events would end at once.
+    this->peer_timer.expires_after(peer_check_interval);
+    this->peer_timer.async_wait(
+        [self = this->weak_from_this(), watch](error_code failure)
+        {
+            const auto session = self.lock();
+            if (session && !failure)
+                session->check_peer(watch);
+        });
+}
+
+bool http_session::has_peer_left()
+{
+    char first = 0;
+    error_code failure;
+    auto& socket = this->stream.socket();
+    socket.receive(asio::buffer(&first, 1), tcp::socket::message_peek, failure);
+    if (failure)
+        return failure != asio::error::would_block;
+    pollfd state{.fd = socket.native_handle(), .events = POLLRDHUP};
+    return ::poll(&state, 1, 0) > 0 && state.revents != 0;
 }
 
 }
--- a/Libraries/net/http_session.hpp
+++ b/Libraries/net/http_session.hpp
@@ -5,6 +5,7 @@
 #include "net/http_server.hpp"
 
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -84,10 +85,22 @@
     // with unread input resets the connection, possibly before the peer has
     // read the reply.
     asio::awaitable<void> discard_input();
+    // What a request learns of its peer; see http_request.
+    struct peer_watch
+    {
+        std::uint64_t phase = 0;
+        std::shared_ptr<bool> is_peer_gone;
+        std::shared_ptr<std::function<void()>> on_peer_gone;
+    };
+
     // Sets is_peer_gone when the peer closes or resets the connection.
-    void watch_peer(const http_request& request);
+    void watch_peer(const peer_watch& watch);
+    // Decides what the event on the socket means for the request.
+    void check_peer(const peer_watch& watch);
+    bool has_peer_left();
 
     beast::tcp_stream stream;
+    asio::steady_timer peer_timer;
     std::shared_ptr<http_session_context> context;
     beast::flat_buffer buffer;
     // Incremented when a request has been read and when its handler has
--- a/Tests/net/http_server.cpp
+++ b/Tests/net/http_server.cpp
@@ -211,20 +211,32 @@
         CHECK(requests == 5);
 }
 
-// Guards against work that continues after its peer has disconnected, and
-// against connections whose failure affects others.
+// Guards against work that continues after its peer has disconnected, also
+// behind bytes of a further request, and against connections whose failure
+// affects others.
 TEST_CASE_FIXTURE(server_fixture, "disconnected peers are detected")
 {
-    const std::vector<void (raw_client::*)()> table{
-        &raw_client::close, &raw_client::reset, &raw_client::half_close};
+    struct scenario
+    {
+        void (raw_client::*leave)();
+        std::string following;
+    };
+    const std::vector<scenario> table{
+        {&raw_client::close, ""},
+        {&raw_client::reset, ""},
+        {&raw_client::half_close, ""},
+        {&raw_client::close, "GET /next HT"},
+        {&raw_client::reset, "GET /next HT"},
+        {&raw_client::half_close, "GET /next HTTP/1.1\r\n\r\n"}};
     unsigned gone = 0;
-    for (const auto leave : table)
+    for (const auto& each : table)
     {
         raw_client client(this->server.endpoint());
         client.get("/hold");
         REQUIRE(
             wait_until([&] { return this->server.running_requests() == 1; }));
-        (client.*leave)();
+        client.send(each.following);
+        (client.*each.leave)();
         ++gone;
         CHECK(wait_until([&] { return this->peers_gone == gone; }));
         this->hold_gate.is_open = true;
@@ -232,7 +244,7 @@
         this->hold_gate.is_open = false;
     }
     CHECK(this->echo() == "/echo ");
-    CHECK(this->peers_gone == 3);
+    CHECK(this->peers_gone == table.size());
 }
 
 // Guards against a connection limit that is exceeded or does not admit new
