gateway: Bound what complete requests hold

Seen: complete requests on a scattered route take a process beyond its machine's memory. On a route of 36 shards with limit_mb = 96, 400 bodies of 60,000 bytes took 112,404 KB of resident memory, the same bodies sent again as soon as they are refused 142,371 KB with the kernel's, and 1,000 bodies of 1 KiB 116,551 KB and 2,208 descriptors of 2,048.

Cause: each send copied the whole body; a request counted its body but not its legs, about 1.3 KB each; and complete requests were never refused, however much of the memory they held.

Change: a send writes its head and the shared body without a copy. The gateway reserves 2 KiB a leg before anything is sent. A request for which there is no memory is refused before it is served, with 503 and Retry-After, so that the refusal is true; unfinished requests and unread replies go first.

Tables in Tests/core/connection/caller_memory.cpp and Tests/gateway/forwarder.cpp cover the decisions.

--- a/Libraries/core/connection/caller_memory.cpp
+++ b/Libraries/core/connection/caller_memory.cpp
@@ -100,14 +100,33 @@
     this->memory->enforce_limit(nullptr, now);
 }
 
-bool caller_memory::reservation::begin_serving(std::size_t bytes)
+bool caller_memory::reservation::begin_serving(std::size_t bytes,
+                                               time_point now)
 {
     const std::lock_guard lock(this->memory->mutex);
     if (this->dropped != drop_cause::none)
         return false;
     this->current_phase = phase::serving;
     this->memory->resize(*this, bytes);
-    return true;
+    if (this->memory->enforce_limit(this, now))
+        return true;
+    this->memory->drop_for_memory(*this);
+    this->memory->report_drops(now);
+    return false;
+}
+
+bool caller_memory::reservation::extend_request(std::size_t bytes,
+                                                time_point now)
+{
+    const std::lock_guard lock(this->memory->mutex);
+    if (this->dropped != drop_cause::none)
+        return false;
+    const auto before = this->size - this->fixed_size;
+    this->memory->resize(*this, before + bytes);
+    if (this->memory->enforce_limit(this, now))
+        return true;
+    this->memory->resize(*this, before);
+    return false;
 }
 
 void caller_memory::reservation::begin_reply(std::size_t bytes, time_point now)
@@ -227,9 +246,8 @@
     changed.size = size;
 }
 
-void caller_memory::enforce_limit(const reservation* spared, time_point now)
+bool caller_memory::enforce_limit(const reservation* spared, time_point now)
 {
-    const auto dropped_before = this->totals.dropped;
     while (this->totals.held_bytes > this->values.max_bytes)
     {
         auto* chosen = this->find_least_progress(
@@ -242,19 +260,31 @@
             });
         if (chosen == nullptr)
             break;
-        this->drop(*chosen, drop_cause::memory);
-        ++this->totals.dropped;
+        this->drop_for_memory(*chosen);
     }
+    this->report_drops(now);
+    return this->totals.held_bytes <= this->values.max_bytes;
+}
+
+void caller_memory::report_drops(time_point now)
+{
     const bool is_due =
         !this->has_reported || now - this->last_report >= report_interval;
-    if (this->totals.dropped == dropped_before || !is_due)
+    if (this->totals.dropped == this->reported_drops || !is_due)
         return;
     this->has_reported = true;
     this->last_report = now;
+    this->reported_drops = this->totals.dropped;
     if (this->values.handle_drops)
         this->values.handle_drops(this->totals);
 }
 
+void caller_memory::drop_for_memory(reservation& chosen)
+{
+    this->drop(chosen, drop_cause::memory);
+    ++this->totals.dropped;
+}
+
 void caller_memory::drop(reservation& chosen, drop_cause cause)
 {
     this->totals.held_bytes -= std::exchange(chosen.size, 0);
--- a/Libraries/core/connection/caller_memory.hpp
+++ b/Libraries/core/connection/caller_memory.hpp
@@ -32,7 +32,8 @@
 // read, complete requests, replies that are not yet read, and buffers. When the
 // limit is exceeded, the connections whose unfinished requests or unread
 // replies have made the least progress for their age and size are dropped.
-// Complete requests are never dropped. Does no I/O. Thread-safe.
+// Requests that are being served are never dropped; when they fill the memory,
+// further ones are refused before they are served. Does no I/O. Thread-safe.
 class caller_memory
 {
 public:
@@ -97,9 +98,12 @@
         // `received` further bytes of the request have arrived.
         void record_read(std::size_t bytes, std::size_t received,
                          time_point now);
-        // The request is complete. Returns false if it has been dropped and
-        // must not be served.
-        bool begin_serving(std::size_t bytes);
+        // The request is complete. Returns false if it has been dropped or if
+        // there is no memory for it: it must not be served.
+        bool begin_serving(std::size_t bytes, time_point now);
+        // Serving the request takes `bytes` besides it. Returns false, and adds
+        // nothing, if there is no memory for them.
+        bool extend_request(std::size_t bytes, time_point now);
         // The reply is about to be written.
         void begin_reply(std::size_t bytes, time_point now);
         // The connection waits for the next request.
@@ -162,9 +166,12 @@
     // Sets the size of a connection that has not been dropped.
     void resize(reservation& changed, std::size_t bytes);
     // Drops connections until the limit is met. Spares the complete requests
-    // and `spared`.
-    void enforce_limit(const reservation* spared, time_point now);
+    // and `spared`. Returns whether the limit is met.
+    bool enforce_limit(const reservation* spared, time_point now);
     void drop(reservation& chosen, drop_cause cause);
+    void drop_for_memory(reservation& chosen);
+    // Calls handle_drops if it is due.
+    void report_drops(time_point now);
     template <class Predicate>
     reservation* find_least_progress(time_point now, Predicate is_candidate);
 
@@ -173,6 +180,8 @@
     counts totals;
     time_point last_report{};
     bool has_reported = false;
+    // Value of totals.dropped at the last report.
+    std::size_t reported_drops = 0;
     std::unordered_set<reservation*> active;
 };
 
--- a/Libraries/net/http_server.hpp
+++ b/Libraries/net/http_server.hpp
@@ -41,6 +41,11 @@
     // The handler may store a function here; it is called at most once, on the
     // worker of the request, when is_peer_gone becomes true.
     std::shared_ptr<std::function<void()>> on_peer_gone;
+    // Accounts for memory that serving the request takes besides the request
+    // itself. Returns false if there is none: the request must be refused. May
+    // be empty; to be called on the worker of the request while the handler
+    // runs.
+    std::function<bool(std::size_t)> reserve_memory;
 };
 
 // A reply to write.
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -111,7 +111,9 @@
         co_return false;
     std::optional<parser> message;
     auto failure = co_await this->read_request(message);
-    if (!failure && !this->memory->begin_serving(this->held_bytes(*message)))
+    if (!failure &&
+        !this->memory->begin_serving(this->held_bytes(*message),
+                                     std::chrono::steady_clock::now()))
         failure = asio::error::operation_aborted;
     if (failure)
     {
@@ -164,6 +166,11 @@
     request.is_first_on_connection = this->request_phase == 0;
     request.is_peer_gone = std::make_shared<bool>(false);
     request.on_peer_gone = std::make_shared<std::function<void()>>();
+    request.reserve_memory = [this](std::size_t bytes)
+    {
+        return this->memory->extend_request(bytes,
+                                            std::chrono::steady_clock::now());
+    };
     ++this->request_phase;
     this->watch_peer({.phase = this->request_phase,
                       .is_peer_gone = request.is_peer_gone,
--- a/Libraries/net/upstream_connection.cpp
+++ b/Libraries/net/upstream_connection.cpp
@@ -4,6 +4,7 @@
 #include "net/reply_status.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 #include <string>
@@ -19,15 +20,17 @@
 // A connection fails when sent bytes are not acknowledged within this time.
 constexpr std::chrono::milliseconds send_timeout{3000};
 
-// Returns the bytes of a request in one buffer, because Beast's own write
-// iterates over the parts of the header several times for each send.
+// Returns the bytes of a request's head in one buffer, because Beast's own
+// write iterates over the parts of the header several times for each send. The
+// body is not copied: a request that is sent to many upstreams holds it once.
 template <class Body>
-std::string serialize(const http::request<Body>& request)
+std::string serialize_head(const http::request<Body>& request)
 {
     http::request_serializer<Body> serializer(request);
+    serializer.split(true);
     std::string text;
     error_code failure;
-    while (!failure && !serializer.is_done())
+    while (!failure && !serializer.is_header_done())
         serializer.next(failure,
                         [&](error_code&, const auto& buffers)
                         {
@@ -89,12 +92,13 @@
     this->is_usable = false;
     this->waiting_since = started;
     const auto request = this->make_request(call, dialect, started);
-    const auto text = serialize(request);
+    const auto head = serialize_head(request);
+    const std::array message{asio::buffer(head),
+                             asio::buffer(call.request->body)};
 
     error_code failure;
     this->stream.expires_at(std::min(first_byte_deadline, call.deadline));
-    co_await asio::async_write(this->stream, asio::buffer(text),
-                               store_error(failure));
+    co_await asio::async_write(this->stream, message, store_error(failure));
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_reply_bytes);
     parser.skip(request.method() == http::verb::head);
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -28,6 +28,13 @@
 // Shortest time that callers are told to wait before they repeat a request.
 constexpr milliseconds min_retry_after{200};
 
+// Time after which a request may be repeated for which there was no memory: by
+// then requests that fill it have been answered.
+constexpr std::chrono::seconds memory_retry_after{1};
+// What a leg takes: its state, and its call to an upstream, which may wait for
+// a connection.
+constexpr std::size_t leg_bytes = 2048;
+
 // A caller that states at least this much less than the route's timeout has
 // spent it at another instance: no Retry-After is shorter.
 constexpr milliseconds min_repeat_spent = min_retry_after;
@@ -127,6 +134,9 @@
                        .is_scattered = accepted.route->is_scattered()});
     accepted.caller_timeout = caller_timeout;
     auto plan = this->make_plan(accepted);
+    if (request.reserve_memory &&
+        !request.reserve_memory(plan.services.size() * leg_bytes))
+        co_return this->refuse_without_memory(accepted);
     const auto admitted = co_await this->admit(request, accepted, plan);
     if (*request.is_peer_gone)
         co_return this->abandon(accepted);
@@ -228,6 +238,15 @@
         refusal.retry_after);
 }
 
+http_reply forwarder::refuse_without_memory(const accepted_request& accepted)
+{
+    this->log.record_not_admitted(accepted, "memory", status_unavailable,
+                                  memory_retry_after, clock_now());
+    return make_unavailable(
+        "the memory for requests is exhausted; the request has not run",
+        memory_retry_after);
+}
+
 void forwarder::refuse_requests()
 {
     this->is_refusing = true;
--- a/Programs/gateway/forwarder.hpp
+++ b/Programs/gateway/forwarder.hpp
@@ -60,6 +60,8 @@
           const fan_out::options& plan);
     http_reply refuse_admission(const accepted_request& accepted,
                                 const request_admission::decision& refusal);
+    // Refuses a request for whose legs there is no memory.
+    http_reply refuse_without_memory(const accepted_request& accepted);
     // Answers a request that matches no route: 503 when the routes are unknown
     // or may be stale, otherwise 404.
     http_reply refuse_unrouted(const http_request& request,
--- a/Tests/core/connection/caller_memory.cpp
+++ b/Tests/core/connection/caller_memory.cpp
@@ -58,7 +58,8 @@
             return;
         added.begin_request(0, 0, start - each.age);
         added.record_read(each.bytes, each.bytes, start - each.quiet);
-        if (each.where == stage::reading || !added.begin_serving(each.bytes))
+        if (each.where == stage::reading ||
+            !added.begin_serving(each.bytes, start))
             return;
         if (each.where == stage::replying)
             added.begin_reply(each.bytes, start - each.age);
@@ -147,10 +148,67 @@
     CHECK(tested.memory.current().dropped > 10);
     CHECK(tested.reports == 1);
     for (auto& each : tested.connections)
-        CHECK(each.begin_serving(50'000) == (each.cause() == drop_cause::none));
+        CHECK(each.begin_serving(50'000, start) ==
+              (each.cause() == drop_cause::none));
     CHECK(tested.memory.current().held_bytes <= 100'000);
 }
 
+// Guards against complete requests that fill the memory because none of them is
+// ever refused, and against one that is refused while stalled ones hold memory.
+TEST_CASE("a complete request is refused when others fill the memory")
+{
+    struct scenario
+    {
+        const char* what;
+        std::vector<member> others;
+        std::size_t bytes;
+        // What serving the request takes besides it.
+        std::size_t extension;
+        bool is_served;
+        bool is_extended;
+    };
+    const member served{stage::serving, 700'000};
+    const member stalled{stage::reading, 250'000, 5s, 4s};
+    for (const auto& each : std::vector<scenario>{
+             {"with room", {served}, 200'000, 50'000, true, true},
+             {"no room", {served}, 400'000, 0, false, false},
+             {"no room for what it takes",
+              {served},
+              200'000,
+              300'000,
+              true,
+              false},
+             {"instead of a stalled one",
+              {served, stalled},
+              200'000,
+              0,
+              true,
+              true},
+             {"its legs instead of a stalled one",
+              {served, {stage::reading, 50'000, 5s, 4s}},
+              200'000,
+              60'000,
+              true,
+              true}})
+    {
+        CAPTURE(each.what);
+        account tested(1'024'000);
+        for (const auto& added : each.others)
+            tested.add(added);
+        tested.add({stage::unused, 0});
+        auto& asked = tested.connections.back();
+        asked.begin_request(0, 0, start);
+        CHECK(asked.begin_serving(each.bytes, start) == each.is_served);
+        CHECK((asked.cause() == drop_cause::none) == each.is_served);
+        const auto before = tested.memory.current().held_bytes;
+        CHECK(asked.extend_request(each.extension, start) == each.is_extended);
+        if (!each.is_extended)
+            CHECK(tested.memory.current().held_bytes == before);
+        CHECK(tested.memory.current().held_bytes <= 1'024'000);
+        CHECK(tested.connections.front().cause() == drop_cause::none);
+    }
+}
+
 // Guards against connections that send nothing and keep new callers out, and
 // against closing those that serve requests or belong to another server.
 TEST_CASE("a new connection displaces one without a complete request")
@@ -255,7 +313,7 @@
                 else if (action == 1)
                     connection.record_read(size, size, now);
                 else if (action == 2)
-                    chosen.is_complete = connection.begin_serving(size);
+                    chosen.is_complete = connection.begin_serving(size, now);
                 else if (action == 3)
                     connection.begin_reply(size, now);
                 else if (action == 4)
--- a/Tests/gateway/forwarder.cpp
+++ b/Tests/gateway/forwarder.cpp
@@ -503,3 +503,49 @@
     CHECK(this->ask("POST", "/once/x").result_int() == 200);
     CHECK(server.runs().size() == 1);
 }
+
+// Guards against requests whose legs fill the memory because only the request
+// itself is counted, and against a refusal of one that has been sent.
+TEST_CASE_FIXTURE(gateway_fixture, "a request without memory is not sent")
+{
+    struct scenario
+    {
+        const char* target;
+        unsigned shards;
+        bool has_memory;
+        unsigned status;
+    };
+    auto& server = this->add_server("plain", "i-1");
+    for (const char* service : {"s1", "s2", "s3"})
+        this->add_server(service, std::string("i-") + service,
+                         std::string(32, 'r'));
+    this->put_config(1, 3);
+    this->wait_for(4, 1);
+    std::size_t reserved = 0;
+    bool has_memory = true;
+    this->reserve_memory = [&](std::size_t bytes)
+    {
+        reserved = bytes;
+        return has_memory;
+    };
+    std::size_t leg = 0;
+    for (const auto& each :
+         {scenario{"/p/x", 1, true, 200}, scenario{"/q/x", 3, true, 200},
+          scenario{"/p/x", 1, false, 503}, scenario{"/q/x", 3, false, 503}})
+    {
+        CAPTURE(each.target);
+        has_memory = each.has_memory;
+        const auto arrivals = server.arrivals().size();
+        const auto reply = this->ask("GET", each.target);
+        CHECK(reply.result_int() == each.status);
+        CHECK((reply.count("Retry-After") == 1) == !each.has_memory);
+        if (!each.has_memory)
+            CHECK(server.arrivals().size() == arrivals);
+        leg = leg == 0 ? reserved : leg;
+        CHECK(reserved == each.shards * leg);
+    }
+    CHECK(leg > 0);
+    CHECK(this->measures.text().find(
+              "wisteriahatch_admissions_total{decision=\"refused_memory\","
+              "route=\"q\"} 1\n") != std::string::npos);
+}
--- a/Tests/gateway/gateway_fixture.hpp
+++ b/Tests/gateway/gateway_fixture.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/post.hpp>
 #include <deque>
 #include <doctest/doctest.h>
+#include <functional>
 #include <future>
 #include <map>
 #include <string>
@@ -48,6 +49,9 @@
     // Further fields of the service "plain" in the configuration.
     std::string service_fields;
 
+    // Replaces the one of each request, unless it is empty.
+    std::function<bool(std::size_t)> reserve_memory;
+
     // Failure domain of the servers that are added next.
     std::string server_domain = "z";
 
@@ -82,7 +86,11 @@
         this->caller_server.emplace(
             this->workers, http_server::options{.listen = any_loopback_port()},
             [this](http_request request)
-            { return this->requests->handle(std::move(request)); });
+            {
+                if (this->reserve_memory)
+                    request.reserve_memory = this->reserve_memory;
+                return this->requests->handle(std::move(request));
+            });
         REQUIRE(this->caller_server->start());
         this->workers.start();
         boost::asio::post(this->workers.at(0),
--- a/Tests/process/caller_crowds.sh
+++ b/Tests/process/caller_crowds.sh
@@ -67,18 +67,19 @@
 crowd_ordinary() { gateway_ask 1 GET /p/x; }
 
 # Starts the fleet of gateway_fleet with the machine of these tests, and adds a
-# route "/w/" that is scattered over 36 services of one server each.
-# Usage: crowd_fleet [SERVER_ARGUMENT...]
+# route "/w/" that is scattered over 36 services of one server each. Only the
+# servers of that route get the arguments, so that a slow one doesn't delay the
+# ordinary request. Usage: crowd_fleet [SERVER_ARGUMENT...]
 crowd_fleet() {
     local gateway_settings list="" number
     gateway_settings=$(printf '%s\n' "${crowd_lines[@]}")
-    gateway_fleet "$@" || return 1
+    gateway_fleet || return 1
     for number in $(seq 36); do
         list+="${list:+,}w-$number@$fleet_net.1.3:$((9700 + number))"
         store_post "/put?key=servers/w-$number" "$(jq -cn --arg service "w$number" \
             --arg address "$fleet_net.1.3:$((9700 + number))" '
             {service: $service, address: $address, zone: "z1", version: "v1",
-             capacity: 3, state: "ready", warmupLeftMs: 0, sequence: 1}')"
+             capacity: 32, state: "ready", warmupLeftMs: 0, sequence: 1}')"
     done
     fleet_spawn wide-servers "$fleet_bin/stand-in-server" --servers="$list" "$@"
     crowd_config 2
@@ -94,6 +95,7 @@
          services: ["plain", "w\(range(1; 37))" |
                     {name: ., healthPath: "/health", maxConns: 800}],
          routes: [$route + {name: "p", prefix: "/p/", service: "plain"},
+                  $route + {name: "s", prefix: "/s/", service: "w1"},
                   $route + {name: "w", prefix: "/w/", topK: 5, minShardRatio: 0.5,
                             gather: [range(1; 37) | "w\(.)"]}]}')"
 }
@@ -111,15 +113,16 @@
 # Guards against bytes that follow a request which is being served: they wait in
 # the kernel, at every listening address.
 case_gateway_crowd_behind() {
+    local crowd_stays=1
     crowd_fleet --delay_ms=1500 || return 1
-    expect_within gateway-1 "$fleet_net.5.1:8080" behind "$crowd_connections" 262144
+    expect_within gateway-1 "$fleet_net.5.1:8080" behind "$crowd_connections" 262144 --path=/w/x
 }
 
 # Guards against replies that nobody reads and that wait in the kernel.
 case_gateway_crowd_unread() {
-    crowd_fleet --body="$(printf '%0120000d' 0)" || return 1
     local crowd_stays=1
-    expect_within gateway-1 "$fleet_net.5.1:8080" unread "$crowd_connections" 2000
+    crowd_fleet --body="$(printf '%0120000d' 0)" || return 1
+    expect_within gateway-1 "$fleet_net.5.1:8080" unread "$crowd_connections" 2000 --path=/s/x
 }
 
 # Guards against callers that keep every connection for callers with replies that
@@ -133,6 +136,8 @@
 # Guards against complete requests that exhaust the memory: each waits for 36
 # upstreams, and its body was copied for each send.
 case_gateway_crowd_complete() {
+    local crowd_lines=('[memory]' 'limit_mb = 96' 'descriptors = 2048')
+    local crowd_bound_kb=$((96 * 1024))
     crowd_fleet --delay_ms=1500 || return 1
     expect_within gateway-1 "$fleet_net.5.1:8080" complete 400 60000 --path=/w/x
     expect_within gateway-1 "$fleet_net.5.1:8080" complete "$crowd_connections" 60000 --path=/w/x --reconnect
@@ -145,7 +150,8 @@
     crowd_fleet --delay_ms=1000 || return 1
     local pattern
     for pattern in large_chunks complete small_chunks complete mixed; do
-        expect_within gateway-1 "$fleet_net.5.1:8080" "$pattern" "$crowd_connections" 200000 --reconnect
+        expect_within gateway-1 "$fleet_net.5.1:8080" "$pattern" "$crowd_connections" 200000 \
+            --path=/w/x --reconnect
     done
 }
 
@@ -156,7 +162,7 @@
     local round
     for round in 1 2; do
         fleet_signal gateway-1 STOP
-        start_crowd gateway-1 "$fleet_net.5.1:8080" --pattern=mixed --reconnect \
+        start_crowd gateway-1 "$fleet_net.5.1:8080" --pattern=mixed --path=/w/x --reconnect \
             --connections="$crowd_excess_connections" --bytes=200000
         fleet_signal gateway-1 CONT
         crowd_config "$((round + 2))"
@@ -169,7 +175,7 @@
 case_gateway_crowd_stop() {
     crowd_fleet --delay_ms=1000 || return 1
     local peak
-    start_crowd gateway-1 "$fleet_net.5.1:8080" --pattern=mixed --reconnect \
+    start_crowd gateway-1 "$fleet_net.5.1:8080" --pattern=mixed --path=/w/x --reconnect \
         --connections="$crowd_excess_connections" --bytes=200000
     fleet_signal gateway-1 TERM
     fleet_join gateway-1
