gateway: Keep only the records of a part that the merge can use

Cause: a request to many shards keeps each reply whole until the last one, and no account knows these: the one for replies ends with the last byte, the one for callers begins with the answer.

Change: a part is cut to its greatest topK records as soon as it is complete, and keeps no header but its signature. What is left is known from the route and is reserved with the request's legs. The merged answer is the same: a record that is not among the greatest of its part is not among those of all.

--- a/Libraries/core/request/record_merge.cpp
+++ b/Libraries/core/request/record_merge.cpp
@@ -28,4 +28,12 @@
     return merged;
 }
 
+void keep_top_records(std::string& part, std::size_t count)
+{
+    if (part.size() / record_bytes <= count)
+        return;
+    const std::string_view whole = part;
+    part = merge_top_records({&whole, 1}, count);
+}
+
 }
--- a/Libraries/core/request/record_merge.hpp
+++ b/Libraries/core/request/record_merge.hpp
@@ -18,6 +18,10 @@
 std::string merge_top_records(std::span<const std::string_view> parts,
                               std::size_t count);
 
+// Replaces a part by its `count` greatest records, unless it has fewer, so that
+// a part which waits for others holds no more than the merge uses.
+void keep_top_records(std::string& part, std::size_t count);
+
 }
 
 #endif
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -85,6 +85,14 @@
                            min_retry_after));
 }
 
+// Returns what serving a request takes besides the request.
+std::size_t legs_bytes(const route_spec& route, const fan_out::options& plan)
+{
+    const auto reply_bytes =
+        route.is_scattered() ? route.top_records * record_bytes : 0;
+    return plan.services.size() * (leg_bytes + reply_bytes);
+}
+
 // Passes on an upstream's status, end-to-end headers and body.
 http_reply relay(upstream_reply&& answer)
 {
@@ -135,7 +143,7 @@
     accepted.caller_timeout = caller_timeout;
     auto plan = this->make_plan(accepted);
     if (request.reserve_memory &&
-        !request.reserve_memory(plan.services.size() * leg_bytes))
+        !request.reserve_memory(legs_bytes(*accepted.route, plan)))
         co_return this->refuse_without_memory(accepted);
     const auto admitted = co_await this->admit(request, accepted, plan);
     if (*request.is_peer_gone)
@@ -200,6 +208,7 @@
             .deadline = accepted.schedule.deadline,
             .priority = route.priority,
             .is_scattered = route.is_scattered(),
+            .max_records = route.top_records,
             .plan = std::move(plan),
             .rate_limits = &this->config.state->rate_limits,
             .load = this->load(),
--- a/Programs/gateway/request_session.cpp
+++ b/Programs/gateway/request_session.cpp
@@ -1,5 +1,6 @@
 #include "request_session.hpp"
 
+#include "core/request/record_merge.hpp"
 #include "request_log.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -263,7 +264,9 @@
                               : reply.status < min_server_error_status;
     if (is_final)
     {
-        this->replies.emplace(attempt, std::move(reply));
+        this->replies.emplace(attempt, this->config.is_scattered
+                                           ? this->reduce(std::move(reply))
+                                           : std::move(reply));
         return attempt_outcome::answered;
     }
     if (!this->config.is_scattered)
@@ -271,6 +274,19 @@
     return attempt_outcome::failed;
 }
 
+upstream_reply request_session::reduce(upstream_reply reply) const
+{
+    const auto& signature = this->config.header_names->signature;
+    upstream_reply part{.status = reply.status,
+                        .body = std::move(reply.body),
+                        .latency = reply.latency};
+    keep_top_records(part.body, this->config.max_records);
+    part.headers.push_back(
+        {signature,
+         std::string(find_header(reply.headers, signature).value_or(""))});
+    return part;
+}
+
 void request_session::record(const running_call& call, attempt_outcome end,
                              std::string_view reason)
 {
--- a/Programs/gateway/request_session.hpp
+++ b/Programs/gateway/request_session.hpp
@@ -63,6 +63,8 @@
         // True when the answers are merged; only replies with a success status
         // are answers then.
         bool is_scattered = false;
+        // Records of each reply to a scattered request that are kept.
+        std::size_t max_records = 0;
         fan_out::options plan;
         upstream_rate_limits* rate_limits = nullptr;
         // What the ends of attempts say of the upstreams' load; may be null.
@@ -111,6 +113,8 @@
     // Returns the outcome of an attempt. Keeps a reply that may be passed on to
     // the caller.
     attempt_outcome classify(attempt_id attempt, upstream_result& result);
+    // Returns what the answer to a scattered request needs of the reply.
+    upstream_reply reduce(upstream_reply reply) const;
     // Records the end of an attempt in the log and the metrics.
     void record(const running_call& call, attempt_outcome end,
                 std::string_view reason);
--- a/Tests/core/request/record_merge.cpp
+++ b/Tests/core/request/record_merge.cpp
@@ -11,7 +11,8 @@
 
 // Guards against a merged answer that does not hold the greatest records in
 // order. Compares it with sorting all records, for inputs with equal records,
-// bytes above 127 and trailing bytes that don't fill a record.
+// bytes above 127 and trailing bytes that don't fill a record, also when each
+// part has been cut to its greatest records before.
 TEST_CASE("the merge equals sorting all records")
 {
     std::mt19937_64 random(7);
@@ -43,5 +44,13 @@
             expected += record;
         const std::vector<std::string_view> parts(bodies.begin(), bodies.end());
         CHECK(merge_top_records(parts, count) == expected);
+        for (auto& body : bodies)
+        {
+            const auto records = body.size() / record_bytes;
+            keep_top_records(body, count);
+            CHECK(body.size() / record_bytes == std::min(count, records));
+        }
+        const std::vector<std::string_view> kept(bodies.begin(), bodies.end());
+        CHECK(merge_top_records(kept, count) == expected);
     }
 }
--- a/Tests/process/caller_crowds.sh
+++ b/Tests/process/caller_crowds.sh
@@ -159,6 +159,14 @@
     expect_within gateway-1 "$fleet_net.5.1:8080" complete "$crowd_connections" 1024 --path=/w/x --reconnect
 }
 
+# Guards against complete replies that wait for a slow upstream: each request
+# holds those of 35 upstreams meanwhile.
+case_gateway_crowd_parts() {
+    crowd_fleet --body="$(printf '%016000d' 0)" || return 1
+    curl -sf -o /dev/null --max-time 2 "http://$fleet_net.1.3:9736/control?mode=silent"
+    expect_within gateway-1 "$fleet_net.5.1:8080" complete 400 1024 --path=/w/x --reconnect
+}
+
 # Guards against memory that is not returned when a crowd has left, so that the
 # next crowd exceeds the machine's memory.
 case_gateway_crowd_again() {
