net: Count what a caller reads of its reply as progress

Seen by reading, shown without a process: when the memory is full, a caller that reads a long reply slowly but steadily is dropped before one that reads nothing, because a reply made no progress after its first half second.

Cause: the reply was written in one operation that reports only its end.

Change: the session writes in parts and records each of them.

Test: three rows in Tests/core/connection/caller_memory.cpp. With a record_write that records nothing, all three fail; a case with processes would depend on the speed of reading.

--- a/Libraries/core/connection/caller_memory.cpp
+++ b/Libraries/core/connection/caller_memory.cpp
@@ -142,6 +142,13 @@
     this->memory->enforce_limit(this, now);
 }
 
+void caller_memory::reservation::record_write(std::size_t written,
+                                              time_point now)
+{
+    const std::lock_guard lock(this->memory->mutex);
+    this->record_progress(written, now);
+}
+
 void caller_memory::reservation::end_request(std::size_t bytes, time_point now)
 {
     const std::lock_guard lock(this->memory->mutex);
@@ -178,7 +185,7 @@
     return this->dropped;
 }
 
-void caller_memory::reservation::record_progress(std::size_t received,
+void caller_memory::reservation::record_progress(std::size_t bytes,
                                                  time_point now)
 {
     if (now - this->window_start >= progress_window)
@@ -188,7 +195,7 @@
         this->window_bytes = 0;
         this->window_start = now;
     }
-    this->window_bytes += received;
+    this->window_bytes += bytes;
 }
 
 std::size_t caller_memory::reservation::recent_progress(time_point now) const
--- a/Libraries/core/connection/caller_memory.hpp
+++ b/Libraries/core/connection/caller_memory.hpp
@@ -109,6 +109,8 @@
         bool extend_request(std::size_t bytes, time_point now);
         // The reply is about to be written.
         void begin_reply(std::size_t bytes, time_point now);
+        // The peer has made room for `written` further bytes of the reply.
+        void record_write(std::size_t written, time_point now);
         // The connection waits for the next request.
         void end_request(std::size_t bytes, time_point now);
         // The connection only waits for its peer to close it.
@@ -133,11 +135,11 @@
             idle,
         };
 
-        // Bytes received in the last one or two progress windows.
+        // Bytes received or written in the last one or two progress windows.
         std::size_t recent_progress(time_point now) const;
         // Size and age against recent progress; the highest is dropped first.
         double drop_score(time_point now) const;
-        void record_progress(std::size_t received, time_point now);
+        void record_progress(std::size_t bytes, time_point now);
 
         caller_memory* memory;
         const void* server;
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -399,7 +399,14 @@
     this->memory->begin_reply(this->buffer.capacity() +
                                   message.body().capacity(),
                               std::chrono::steady_clock::now());
-    co_await http::async_write(this->stream, message, store_error(failure));
+    // Written in parts, so that the account sees whether the peer reads.
+    http::response_serializer<http::string_body> serializer(message);
+    while (!failure && !serializer.is_done())
+    {
+        const auto written = co_await http::async_write_some(
+            this->stream, serializer, store_error(failure));
+        this->memory->record_write(written, std::chrono::steady_clock::now());
+    }
     this->is_unread = failure.failed();
     co_return keep_open && !failure;
 }
--- a/Tests/core/connection/caller_memory.cpp
+++ b/Tests/core/connection/caller_memory.cpp
@@ -28,14 +28,16 @@
     idle,
 };
 
-// A connection that entered its stage `age` ago and last received bytes
-// `quiet` ago.
+// A connection that entered its stage `age` ago and last received or wrote
+// bytes `quiet` ago.
 struct member
 {
     stage where;
     std::size_t bytes;
     duration age{0};
     duration quiet{0};
+    // Bytes of the reply that have been written at that time.
+    std::size_t written = 0;
 };
 
 struct account
@@ -63,6 +65,8 @@
             return;
         if (each.where == stage::replying)
             added.begin_reply(each.bytes, start - each.age);
+        if (each.written > 0)
+            added.record_write(each.written, start - each.quiet);
         if (each.where == stage::idle)
             added.end_request(each.bytes, start - each.quiet);
     }
@@ -109,6 +113,15 @@
              {"an unread reply",
               {{stage::replying, 400'000, 3s}, {stage::reading, 640'000}},
               0},
+             {"an unread reply goes before one that is being read",
+              {{stage::replying, 500'000, 5s, 0s, 8'000},
+               {stage::replying, 400'000, 3s},
+               {stage::reading, 140'000}},
+              1},
+             {"a reply whose peer has stopped reading",
+              {{stage::replying, 400'000, 5s, 4s, 8'000},
+               {stage::reading, 640'000}},
+              0},
              {"an idle connection stays",
               {{stage::idle, 4'000, 30s, 30s}, stalled, served},
               1},
@@ -242,6 +255,9 @@
              {"a reply that nobody reads goes before an idle connection",
               {{stage::idle, 10, 9s, 9s}, {stage::replying, 10, 9s}},
               1},
+             {"a reply that is being read stays",
+              {{stage::replying, 10, 9s, 0s, 10}, {stage::idle, 10, 9s, 9s}},
+              1},
              {"the one that has been idle longest",
               {{stage::idle, 10, 9s, 1s},
                {stage::idle, 10, 9s, 5s},
--- a/Tests/process/caller_crowds.sh
+++ b/Tests/process/caller_crowds.sh
@@ -178,6 +178,16 @@
     done
 }
 
+# Guards against the same patterns at the addresses for readiness, peers and
+# metrics.
+case_gateway_crowd_addresses() {
+    crowd_fleet || return 1
+    local port
+    for port in 8081 8082 8083; do
+        expect_within gateway-1 "$fleet_net.5.1:$port" mixed "$crowd_connections" 200000 --reconnect
+    done
+}
+
 # Guards against a crowd that fills the memory of a process which is frozen, or
 # which learns a new configuration and reloads its settings meanwhile.
 case_gateway_crowd_frozen() {
