gateway: Fit the connections to upstreams into the descriptors

Seen: 500 callers on a route of 36 shards make the gateway open 1,707 descriptors on a machine of 1,024. New callers and the store then find none.

Cause: the share of each upstream follows the connections that the upstream accepts and its slots; nothing bounded the sum over all upstreams.

Change: where the shares together exceed three sixteenths of the descriptors, each is reduced in proportion, to one at least.

--- a/Libraries/core/connection/caller_memory.cpp
+++ b/Libraries/core/connection/caller_memory.cpp
@@ -20,11 +20,13 @@
 // process itself and for what the allocator holds beyond the bytes in use.
 constexpr double caller_memory_ratio = 0.4;
 constexpr std::size_t min_caller_bytes = 4 * mebibyte;
-// Shares of the descriptors; the last quarter is left for connections to
-// upstreams, peers and the store.
+// Shares of the descriptors; the last sixteenth is left for connections to
+// peers and to the store, and for files.
 constexpr std::size_t caller_descriptor_divisor = 2;
 constexpr std::size_t peer_descriptor_divisor = 8;
 constexpr std::size_t probe_descriptor_divisor = 16;
+constexpr std::size_t upstream_descriptor_parts = 3;
+constexpr std::size_t upstream_descriptor_divisor = 16;
 
 // Part of the memory up to which connections are extended.
 constexpr std::size_t extension_divisor = 2;
@@ -50,7 +52,9 @@
     return {.max_bytes = std::max(min_caller_bytes, bytes),
             .caller_connections = share(caller_descriptor_divisor),
             .peer_connections = share(peer_descriptor_divisor),
-            .probe_connections = share(probe_descriptor_divisor)};
+            .probe_connections = share(probe_descriptor_divisor),
+            .upstream_connections =
+                upstream_descriptor_parts * share(upstream_descriptor_divisor)};
 }
 
 caller_memory::reservation::reservation(caller_memory& owner,
--- a/Libraries/core/connection/caller_memory.hpp
+++ b/Libraries/core/connection/caller_memory.hpp
@@ -21,6 +21,7 @@
     std::size_t caller_connections = 0;
     std::size_t peer_connections = 0;
     std::size_t probe_connections = 0;
+    std::size_t upstream_connections = 0;
 };
 
 // Derives the budget from the machine's memory and descriptors; 0 stands for an
--- a/Libraries/core/process/connection_share.cpp
+++ b/Libraries/core/process/connection_share.cpp
@@ -16,4 +16,12 @@
     return std::clamp(static_cast<unsigned>(share), 1U, bounds.slots + 1);
 }
 
+unsigned reduce_share(unsigned share, std::size_t total, std::size_t max_total)
+{
+    if (total <= max_total)
+        return share;
+    const auto reduced = share * max_total / total;
+    return std::max(1U, static_cast<unsigned>(reduced));
+}
+
 }
--- a/Libraries/core/process/connection_share.hpp
+++ b/Libraries/core/process/connection_share.hpp
@@ -3,6 +3,8 @@
 
 #include "core/process/fleet_size_estimate.hpp"
 
+#include <cstddef>
+
 namespace wisteriahatch
 {
 
@@ -30,6 +32,11 @@
 // use.
 unsigned connection_share(const connection_bounds& bounds);
 
+// Reduces the share of one upstream in proportion, so that the shares of all
+// upstreams, whose sum is `total`, need at most `max_total` descriptors.
+// Returns at least 1, which more upstreams than descriptors exceed.
+unsigned reduce_share(unsigned share, std::size_t total, std::size_t max_total);
+
 }
 
 #endif
--- a/Programs/gateway/gateway_process.cpp
+++ b/Programs/gateway/gateway_process.cpp
@@ -164,6 +164,8 @@
                                  forwarding_header_names names)
     : settings_path(std::move(path))
     , settings(std::move(initial_settings))
+    , budget(derive_caller_budget(this->settings.memory_mb,
+                                  this->settings.descriptors))
     , source(std::move(origin))
     , dialect(make_forwarding_dialect(names))
     , started(std::chrono::steady_clock::now())
@@ -184,6 +186,7 @@
            .upstreams = &this->upstreams,
            .instance = format_endpoint(this->settings.caller_address),
            .failure_domain = this->settings.failure_domain,
+           .max_upstream_connections = this->budget.upstream_connections,
            .follows_evacuations = this->settings.follows_evacuations(),
            .handle_evacuations = [this](const std::vector<evacuation_change>&)
            { this->requests.withdraw_evacuated(); }})
@@ -205,8 +208,6 @@
            .failure_domain = this->settings.failure_domain,
            .measures = &this->measures,
            .handle_cold = [this] { this->peers.announce_cold_upstreams(); }})
-    , budget(derive_caller_budget(this->settings.memory_mb,
-                                  this->settings.descriptors))
     , memory(make_logged_caller_memory(this->budget.max_bytes))
     , caller_server(this->workers, this->make_caller_options(),
                     [this](http_request request)
--- a/Programs/gateway/gateway_process.hpp
+++ b/Programs/gateway/gateway_process.hpp
@@ -78,6 +78,7 @@
 
     std::string settings_path;
     gateway_settings settings;
+    caller_budget budget;
     forwarding_metrics measures;
     std::unique_ptr<configuration_source> source;
     std::shared_ptr<const upstream_dialect> dialect;
@@ -91,7 +92,6 @@
     peer_exchange peers;
     peer_source reader;
     forwarder requests;
-    caller_budget budget;
     std::shared_ptr<caller_memory> memory;
     http_server caller_server;
     http_server ready_server;
--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -487,24 +487,43 @@
     }
 }
 
+unsigned source_watcher::share_of(const upstream_spec& upstream) const
+{
+    const auto& routes = this->config.state->routes;
+    const auto* limits =
+        routes ? routes->find_service(upstream.service) : nullptr;
+    if (limits == nullptr)
+        return 1;
+    return connection_share({.max_connections = limits->max_connections,
+                             .slots = upstream.slots,
+                             .fleet = this->fleet});
+}
+
+void source_watcher::limit_shares(
+    std::map<std::string, upstream_address>& addresses) const
+{
+    std::size_t total = 0;
+    for (const auto& [id, each] : addresses)
+        total += each.connection_share;
+    for (auto& [id, each] : addresses)
+    {
+        each.connection_share =
+            reduce_share(each.connection_share, total,
+                         this->config.max_upstream_connections);
+        each.min_concurrency = each.connection_share;
+    }
+}
+
 void source_watcher::publish_upstreams()
 {
     this->choose_subset();
-    const auto& routes = this->config.state->routes;
     std::map<std::string, upstream_address> addresses;
     for (const auto& [id, entry] : this->config.state->upstreams.all())
     {
         const auto endpoint = parse_endpoint(entry->spec.address);
         if (!endpoint)
             continue;
-        const auto* limits =
-            routes ? routes->find_service(entry->spec.service) : nullptr;
-        const auto share =
-            limits == nullptr
-                ? 1
-                : connection_share({.max_connections = limits->max_connections,
-                                    .slots = entry->spec.slots,
-                                    .fleet = this->fleet});
+        const auto share = this->share_of(entry->spec);
         const auto idle_timeout = entry->state->is_in_subset()
                                       ? std::chrono::milliseconds(0)
                                       : outside_subset_idle_timeout;
@@ -517,6 +536,7 @@
                                                .state = entry->state,
                                                .idle_timeout = idle_timeout});
     }
+    this->limit_shares(addresses);
     this->config.upstreams->set_upstreams(std::move(addresses));
 }
 
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -36,6 +36,8 @@
         // chosen.
         std::string instance;
         std::string failure_domain;
+        // Connections that all upstreams together may have.
+        std::size_t max_upstream_connections = SIZE_MAX;
         // Whether evacuations of failure domains are followed. The source and
         // the peer have to read them.
         bool follows_evacuations = false;
@@ -144,6 +146,10 @@
     void set_reachable(bool is_reachable, const std::string& reason);
     // Passes the upstreams and their limits to the pool.
     void publish_upstreams();
+    // Returns how many connections this instance may open to the upstream.
+    unsigned share_of(const upstream_spec& upstream) const;
+    // Reduces the shares to the connections that all may have together.
+    void limit_shares(std::map<std::string, upstream_address>& addresses) const;
     // Chooses the upstreams to which this instance keeps connections.
     void choose_subset();
     void arm_expiry();
--- a/Tests/core/connection/caller_memory.cpp
+++ b/Tests/core/connection/caller_memory.cpp
@@ -410,5 +410,10 @@
         CHECK(budget.caller_connections == each.connections);
         CHECK(budget.peer_connections >= 1);
         CHECK(budget.probe_connections >= 1);
+        // Probes come to two addresses.
+        const auto all = budget.caller_connections + budget.peer_connections +
+                         2 * budget.probe_connections +
+                         budget.upstream_connections;
+        CHECK((each.descriptors < 16 || all < each.descriptors));
     }
 }
--- a/Tests/core/process/connection_share.cpp
+++ b/Tests/core/process/connection_share.cpp
@@ -33,3 +33,24 @@
               each.share);
     }
 }
+
+// Guards against connections to many upstreams that use up the descriptors of
+// the process, and against an upstream that gets none.
+TEST_CASE("the shares of all upstreams fit into the descriptors")
+{
+    struct scenario
+    {
+        unsigned share;
+        std::size_t total, max_total;
+        unsigned reduced;
+    };
+    for (const auto& each :
+         {scenario{33, 33, 192, 33}, scenario{33, 192, 192, 33},
+          scenario{33, 1188, 192, 5}, scenario{1, 1188, 192, 1},
+          scenario{4, 400, 100, 1}, scenario{3, 5000, 192, 1}})
+    {
+        CAPTURE(each.total);
+        CHECK(reduce_share(each.share, each.total, each.max_total) ==
+              each.reduced);
+    }
+}
--- a/Tests/process/caller_crowds.sh
+++ b/Tests/process/caller_crowds.sh
@@ -167,6 +167,15 @@
     expect_within gateway-1 "$fleet_net.5.1:8080" complete 400 1024 --path=/w/x --reconnect
 }
 
+# Guards against connections to many upstreams that take the descriptors which
+# callers and the store need.
+case_gateway_crowd_upstreams() {
+    local crowd_lines=('[memory]' 'limit_mb = 256' 'descriptors = 1024')
+    local crowd_bound_kb=$((256 * 1024)) crowd_descriptor_bound=1024 crowd_stays=1
+    crowd_fleet --delay_ms=1500 || return 1
+    expect_within gateway-1 "$fleet_net.5.1:8080" complete 500 1024 --path=/w/x --reconnect
+}
+
 # Guards against memory that is not returned when a crowd has left, so that the
 # next crowd exceeds the machine's memory.
 case_gateway_crowd_again() {
