--- a/Programs/gateway/source_watcher.cpp
+++ b/Programs/gateway/source_watcher.cpp
@@ -1,9 +1,7 @@
 #include "source_watcher.hpp"
 
 #include "cold_upstreams.hpp"
-#include "core/process/connection_share.hpp"
 #include "core/process/reader_selection.hpp"
-#include "core/process/upstream_subset.hpp"
 #include "net/http_client.hpp"
 #include "telemetry/log.hpp"
 
@@ -35,6 +33,11 @@
     : config(std::move(opts))
     , pause_timer(*this->config.worker)
     , expiry_timer(*this->config.worker)
+    , publisher({.state = this->config.state,
+                 .upstreams = this->config.upstreams,
+                 .instance = this->config.instance,
+                 .failure_domain = this->config.failure_domain,
+                 .max_connections = this->config.max_upstream_connections})
 {
 }
 
@@ -58,7 +61,7 @@
               {{"version", std::to_string(routes->version())},
                {"routes", std::to_string(routes->routes().size())},
                {"origin", origin}});
-    this->publish_upstreams();
+    this->publisher.publish(this->fleet);
 }
 
 void source_watcher::adopt_snapshot(const routing_snapshot& snapshot,
@@ -93,7 +96,7 @@
         record_directory_entry(*this->config.state, spec, now);
     if (this->config.state->upstreams.replace_all(specs, now,
                                                   this->unchanged_at()))
-        this->publish_upstreams();
+        this->publisher.publish(this->fleet);
 }
 
 routing_snapshot source_watcher::snapshot() const
@@ -191,7 +194,7 @@
 void source_watcher::set_fleet_size(const fleet_size& size)
 {
     this->fleet = size;
-    this->publish_upstreams();
+    this->publisher.publish(this->fleet);
 }
 
 asio::awaitable<void> source_watcher::run()
@@ -341,7 +344,7 @@
         this->change_log.append(this->known.revision, change);
     }
     if (has_changed)
-        this->publish_upstreams();
+        this->publisher.publish(this->fleet);
     this->has_new_changes = changes.routes || !changes.upstreams.empty();
     if (this->config.follows_evacuations && is_latest && changes.evacuations)
         this->apply_evacuations(*changes.evacuations, origin);
@@ -467,79 +470,6 @@
         log_event(log_level::warning, "source_lost", {{"reason", reason}});
 }
 
-void source_watcher::choose_subset()
-{
-    const auto& state = *this->config.state;
-    if (!state.routes)
-        return;
-    for (const auto& [service, group] : state.upstreams.by_service())
-    {
-        const auto* limits = state.routes->find_service(service);
-        if (limits == nullptr)
-            continue;
-        const upstream_subset subset(
-            group, {.instance = this->config.instance,
-                    .failure_domain = this->config.failure_domain,
-                    .fleet = this->fleet,
-                    .max_connections = limits->max_connections});
-        for (const auto& each : group)
-            each->state->set_in_subset(subset.contains(each->spec.id));
-    }
-}
-
-unsigned source_watcher::share_of(const upstream_spec& upstream) const
-{
-    const auto& routes = this->config.state->routes;
-    const auto* limits =
-        routes ? routes->find_service(upstream.service) : nullptr;
-    if (limits == nullptr)
-        return 1;
-    return connection_share({.max_connections = limits->max_connections,
-                             .slots = upstream.slots,
-                             .fleet = this->fleet});
-}
-
-void source_watcher::limit_shares(
-    std::map<std::string, upstream_address>& addresses) const
-{
-    std::size_t total = 0;
-    for (const auto& [id, each] : addresses)
-        total += each.connection_share;
-    for (auto& [id, each] : addresses)
-    {
-        each.connection_share =
-            reduce_share(each.connection_share, total,
-                         this->config.max_upstream_connections);
-        each.min_concurrency = each.connection_share;
-    }
-}
-
-void source_watcher::publish_upstreams()
-{
-    this->choose_subset();
-    std::map<std::string, upstream_address> addresses;
-    for (const auto& [id, entry] : this->config.state->upstreams.all())
-    {
-        const auto endpoint = parse_endpoint(entry->spec.address);
-        if (!endpoint)
-            continue;
-        const auto share = this->share_of(entry->spec);
-        const auto idle_timeout = entry->state->is_in_subset()
-                                      ? std::chrono::milliseconds(0)
-                                      : outside_subset_idle_timeout;
-        // Upstreams also shed requests while they have free slots, so refusals
-        // say little about their load and must not lower the concurrency below
-        // the share.
-        addresses.emplace(id, upstream_address{.endpoint = endpoint.value(),
-                                               .connection_share = share,
-                                               .min_concurrency = share,
-                                               .state = entry->state,
-                                               .idle_timeout = idle_timeout});
-    }
-    this->limit_shares(addresses);
-    this->config.upstreams->set_upstreams(std::move(addresses));
-}
-
 void source_watcher::arm_expiry()
 {
     auto next = this->config.state->upstreams.next_expiry();
@@ -556,7 +486,7 @@
                 return;
             const auto now = clock_now();
             if (this->config.state->upstreams.expire(now))
-                this->publish_upstreams();
+                this->publisher.publish(this->fleet);
             this->report_evacuations(this->config.state->evacuated.expire(now),
                                      "restoration");
             this->arm_expiry();
--- a/Programs/gateway/source_watcher.hpp
+++ b/Programs/gateway/source_watcher.hpp
@@ -5,6 +5,7 @@
 #include "gateway_state.hpp"
 #include "net/configuration_source.hpp"
 #include "net/upstream_pool.hpp"
+#include "upstream_publisher.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -65,10 +66,6 @@
     static constexpr std::chrono::milliseconds min_retry_delay{100};
     static constexpr std::chrono::milliseconds max_retry_delay{800};
 
-    // Idle connections to upstreams outside the subset are closed after this
-    // long.
-    static constexpr std::chrono::seconds outside_subset_idle_timeout{2};
-
     explicit source_watcher(options opts);
 
     void start();
@@ -144,14 +141,6 @@
                         const std::string& origin) const;
     // Logs when the source becomes reachable or unreachable.
     void set_reachable(bool is_reachable, const std::string& reason);
-    // Passes the upstreams and their limits to the pool.
-    void publish_upstreams();
-    // Returns how many connections this instance may open to the upstream.
-    unsigned share_of(const upstream_spec& upstream) const;
-    // Reduces the shares to the connections that all may have together.
-    void limit_shares(std::map<std::string, upstream_address>& addresses) const;
-    // Chooses the upstreams to which this instance keeps connections.
-    void choose_subset();
     void arm_expiry();
 
     options config;
@@ -171,6 +160,7 @@
     routing_change_log change_log;
     // Instances that share the upstreams' connections.
     fleet_size fleet;
+    upstream_publisher publisher;
 };
 
 }
