Tests: Add a seeded soak of crowds, signals, restarts and changes

Checked as in the other crowd cases: memory against the machine's, descriptors, ordinary answers afterwards.

--- a/Tests/process/caller_crowds.sh
+++ b/Tests/process/caller_crowds.sh
@@ -228,6 +228,78 @@
     expect "answer of the other gateway" "$(gateway_ask 2 GET /p/x)" = 200
 }
 
+# Prints one of the arguments, as $RANDOM chooses.
+choose() {
+    shift "$((RANDOM % $#))"
+    echo "$1"
+}
+
+end_soak_crowd() {
+    fleet_signal "crowd-$1" KILL 2>/dev/null
+    fleet_join "crowd-$1" 2>/dev/null
+}
+
+# Does one thing to gateway 1 that operators or machines do.
+crowd_soak_event() {
+    case "$1" in
+    reload) fleet_signal gateway-1 HUP ;;
+    configuration)
+        crowd_soak_version=$((crowd_soak_version + 1))
+        crowd_config "$crowd_soak_version"
+        ;;
+    freeze)
+        fleet_signal gateway-1 STOP
+        sleep 0.7
+        fleet_signal gateway-1 CONT
+        ;;
+    restart)
+        fleet_signal gateway-1 TERM
+        fleet_join gateway-1
+        expect "exit status at a restart" "$?" -eq 0
+        gateway_start 1
+        fleet_wait "http://$fleet_net.5.1:8081/ready"
+        ;;
+    esac
+}
+
+# Guards against crowds, signals, restarts and changes that come in series and
+# overlap. Callers use their connections until the process is gone. The seed and
+# the number of rounds come from CROWD_SOAK_SEED and CROWD_SOAK_ROUNDS.
+case_gateway_crowd_soak() {
+    local round peak gateway_settings crowd_soak_version=2 path pattern event
+    crowd_fleet --delay_ms=700 --body="$(printf '%08000d' 0)" || return 1
+    gateway_settings=$(printf '%s\n' "${crowd_lines[@]}")
+    RANDOM=${CROWD_SOAK_SEED:-1}
+    for round in $(seq "${CROWD_SOAK_ROUNDS:-4}"); do
+        pattern=$(choose mixed behind complete unread large_chunks small_chunks trailers)
+        path=$(choose /w/x /p/x /s/x)
+        fleet_spawn "crowd-$round" "$fleet_bin/stand-in-crowd" --reconnect \
+            --watch_pid="${fleet_pids[gateway-1]}" --address="$fleet_net.5.1:8080" \
+            --pattern="$pattern" --path="$path" \
+            --connections="$(choose 200 400 700)" --bytes="$(choose 1024 60000 200000)"
+        sleep "0.$((RANDOM % 10))"
+        for event in 1 2; do
+            crowd_soak_event "$(choose reload configuration freeze restart none)"
+            sleep "0.$((RANDOM % 6))"
+        done
+        expect "process that is alive in round $round" \
+            "$(kill -0 "${fleet_pids[gateway-1]}" && echo yes)" = yes
+        # The crowds of two rounds overlap.
+        [ "$round" -eq 1 ] || end_soak_crowd "$((round - 1))"
+    done
+    sleep 1
+    end_soak_crowd "$round"
+    peak=$(awk '$1 == "peak_kb" && $2 > peak { peak = $2 } END { print peak + 0 }' \
+        "$fleet_work"/crowd-*.log)
+    echo "  gateway-1, seed ${CROWD_SOAK_SEED:-1}: peak $peak KB"
+    expect "peak KB in the soak" "$peak" -gt 0
+    expect "peak KB in the soak" "$peak" -lt "$crowd_bound_kb"
+    expect "descriptors after the soak" \
+        "$(ls "/proc/${fleet_pids[gateway-1]}/fd" | wc -l)" -lt "$crowd_descriptor_bound"
+    expect "ordinary answer after the soak" "$(crowd_ordinary_with_retries)" = 200
+    expect "answer of the other gateway" "$(gateway_ask 2 GET /p/x)" = 200
+}
+
 # Guards against the same patterns at an entry, with upstreams that are slow.
 case_entry_crowds() {
     crowd_ordinary() { [ "$(complete_queries 1 1)" -eq 1 ] && echo 200; }
--- a/Tests/process/run.sh
+++ b/Tests/process/run.sh
@@ -196,7 +196,8 @@
     gateway_crowd_behind gateway_crowd_unread gateway_crowd_descriptors
     gateway_crowd_complete gateway_crowd_parts gateway_crowd_addresses
     gateway_crowd_upstreams
-    gateway_crowd_again gateway_crowd_frozen gateway_crowd_stop entry_crowds)
+    gateway_crowd_again gateway_crowd_frozen gateway_crowd_stop
+    gateway_crowd_soak entry_crowds)
 # Cases with an entry "test: NAME" in KNOWN-RED.txt run only when named.
 if [ "$#" -eq 0 ]; then
     for name in "${all_cases[@]}"; do
