gateway: Release the account's function before a request is kept

The request outlives its handler in calls that are released late; the function that reserves memory for it must not. Nothing calls it there now. Also renames extend() to extend_connection(), beside extend_request().

--- a/Libraries/core/connection/caller_memory.cpp
+++ b/Libraries/core/connection/caller_memory.cpp
@@ -171,7 +171,7 @@
     this->memory->resize(*this, 0);
 }
 
-bool caller_memory::reservation::extend(std::size_t bytes)
+bool caller_memory::reservation::extend_connection(std::size_t bytes)
 {
     const std::lock_guard lock(this->memory->mutex);
     const auto limit = this->memory->values.max_bytes / extension_divisor;
--- a/Libraries/core/connection/caller_memory.hpp
+++ b/Libraries/core/connection/caller_memory.hpp
@@ -13,7 +13,8 @@
 namespace wisteriahatch
 {
 
-// What a process may hold for its callers, derived from its machine.
+// What a process may hold for its callers, and the descriptors that it may use,
+// derived from its machine.
 struct caller_budget
 {
     std::size_t max_bytes = 0;
@@ -21,6 +22,7 @@
     std::size_t caller_connections = 0;
     std::size_t peer_connections = 0;
     std::size_t probe_connections = 0;
+    // Connections to all upstreams together.
     std::size_t upstream_connections = 0;
 };
 
@@ -119,7 +121,7 @@
         // Adds `bytes` to what the open connection takes, until it is closed.
         // Returns false, and adds nothing, unless the memory is at most half
         // full afterwards.
-        bool extend(std::size_t bytes);
+        bool extend_connection(std::size_t bytes);
         // Any other cause than `none` means that the connection must be closed.
         drop_cause cause() const;
 
--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -214,7 +214,8 @@
     constexpr std::size_t directions = 2;
     const auto usual = this->context->values.socket_buffer_bytes;
     if (this->has_large_socket_buffers || usual == 0 ||
-        message_bytes <= usual || !this->memory->extend(directions * large))
+        message_bytes <= usual ||
+        !this->memory->extend_connection(directions * large))
         return;
     this->has_large_socket_buffers = true;
     error_code ignored;
--- a/Programs/gateway/forwarder.cpp
+++ b/Programs/gateway/forwarder.cpp
@@ -145,6 +145,8 @@
     if (request.reserve_memory &&
         !request.reserve_memory(legs_bytes(*accepted.route, plan)))
         co_return this->refuse_without_memory(accepted);
+    // Calls that are released late keep the request beyond this handler.
+    request.reserve_memory = nullptr;
     const auto admitted = co_await this->admit(request, accepted, plan);
     if (*request.is_peer_gone)
         co_return this->abandon(accepted);
--- a/Tests/core/connection/caller_memory.cpp
+++ b/Tests/core/connection/caller_memory.cpp
@@ -302,7 +302,7 @@
         auto& connection = tested.connections.back();
         const auto before = tested.memory.current().held_bytes;
         const auto added = each.is_extended ? each.bytes : 0;
-        CHECK(connection.extend(each.bytes) == each.is_extended);
+        CHECK(connection.extend_connection(each.bytes) == each.is_extended);
         CHECK(tested.memory.current().held_bytes == before + added);
         connection.end_request(0, start);
         CHECK(tested.memory.current().held_bytes == before + added);
@@ -361,7 +361,8 @@
                 else if (action == 5)
                     memory.displace_connection(nullptr, now);
                 else if (action == 6)
-                    chosen.extension += connection.extend(size) ? size : 0;
+                    chosen.extension +=
+                        connection.extend_connection(size) ? size : 0;
                 else
                 {
                     std::swap(chosen, open.back());
