net: Parse all received chunks of a body at once

The log shows its request read more than 5 s after it was sent, while nothing was dropped: the process was busy.

Cause: the parser was called once a chunk, with an update of the account each time: 33,000 calls for a body of 200,000 received bytes.

Change: while a body is read, the parser takes all that has been received.

--- a/Libraries/net/http_session.cpp
+++ b/Libraries/net/http_session.cpp
@@ -312,6 +312,9 @@
         co_await http::async_write(this->stream, proceed, store_error(failure));
     }
     this->extend_socket_buffers(message.content_length().value_or(0));
+    // Parses all received chunks at once: many small ones would keep other
+    // connections waiting.
+    message.eager(true);
     while (!failure && !message.is_done())
     {
         this->stream.expires_after(this->limits().idle_timeout);
