--- a/Tests/process/caller_crowds.sh
+++ b/Tests/process/caller_crowds.sh
@@ -228,10 +228,11 @@
     expect "answer of the other gateway" "$(gateway_ask 2 GET /p/x)" = 200
 }
 
-# Prints one of the arguments, as $RANDOM chooses.
+# Sets $chosen to one of the arguments, as $RANDOM decides. Not to be called in a
+# subshell, for which bash seeds $RANDOM anew.
 choose() {
     shift "$((RANDOM % $#))"
-    echo "$1"
+    chosen="$1"
 }
 
 end_soak_crowd() {
@@ -267,19 +268,28 @@
 # the number of rounds come from CROWD_SOAK_SEED and CROWD_SOAK_ROUNDS.
 case_gateway_crowd_soak() {
     local round peak gateway_settings crowd_soak_version=2 path pattern event
+    local chosen connections bytes
     crowd_fleet --delay_ms=700 --body="$(printf '%08000d' 0)" || return 1
     gateway_settings=$(printf '%s\n' "${crowd_lines[@]}")
     RANDOM=${CROWD_SOAK_SEED:-2}
     for round in $(seq "${CROWD_SOAK_ROUNDS:-4}"); do
-        pattern=$(choose mixed behind complete unread large_chunks small_chunks trailers)
-        path=$(choose /w/x /p/x /s/x)
+        choose mixed behind complete unread large_chunks small_chunks trailers
+        pattern=$chosen
+        choose /w/x /p/x /s/x
+        path=$chosen
+        choose 200 400 700
+        connections=$chosen
+        choose 1024 60000 200000
+        bytes=$chosen
         fleet_spawn "crowd-$round" "$fleet_bin/stand-in-crowd" --reconnect \
             --watch_pid="${fleet_pids[gateway-1]}" --address="$fleet_net.5.1:8080" \
             --pattern="$pattern" --path="$path" \
-            --connections="$(choose 200 400 700)" --bytes="$(choose 1024 60000 200000)"
+            --connections="$connections" --bytes="$bytes"
         sleep "0.$((RANDOM % 10))"
         for event in 1 2; do
-            crowd_soak_event "$(choose reload configuration freeze restart none)"
+            choose reload configuration freeze restart none
+            echo "  round $round: $pattern $path $connections $bytes, $chosen"
+            crowd_soak_event "$chosen"
             sleep "0.$((RANDOM % 6))"
         done
         expect "process that is alive in round $round" \
